Event: Fix the event, effect and settings headers before the parts

Cause: the parts are to be built side by side, and would drift apart without one set of typed events, effects, messages and settings. Ruled out: letting each part define its own messages and joining them later. Conclusion: parts can be written against these headers.

--- /dev/null
+++ b/libraries/event/effect.hpp
@@ -0,0 +1,175 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <model/service.hpp>
+#include <protocol/control_message.hpp>
+#include <protocol/peer_frame.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Everything that the reducer can ask of the runtime. Effects are data; each
+/// packet token ends in exactly one of the packet effects.
+namespace cairnhead
+{
+
+/// Why a packet was dropped. Each has a counter.
+enum class drop_reason : std::uint8_t
+{
+    unknown_destination,
+    unknown_flow,
+    no_upstream,
+    not_ready,
+    view_expired,
+    visited_too_many,
+    table_full,
+    /// The frame named a service that is not the packet's.
+    service_mismatch,
+    /// A reset or ongoing packet was refused by policy.
+    refused_silently,
+};
+
+/// Why an opening was refused. Each has a counter per organisation.
+enum class refusal_reason : std::uint8_t
+{
+    organisation_limit,
+    service_limit,
+    flow_limit,
+    table_full,
+    no_healthy_upstream,
+    upstreams_full,
+    leaving,
+};
+
+/// Send the packet to an upstream.
+struct send_to_upstream
+{
+    packet_token token;
+    upstream_id upstream;
+};
+
+/// Hand the packet to another VM.
+struct send_to_peer
+{
+    packet_token token;
+    vm_id target;
+    peer_frame frame;
+};
+
+/// Tell the caller that its opening was not run. No packet of it was sent
+/// towards any upstream.
+struct refuse_opening
+{
+    packet_token token;
+    organisation_id organisation;
+    refusal_style style = refusal_style::reset;
+    refusal_reason reason = refusal_reason::service_limit;
+    /// When the caller may come back.
+    time_point retry_at;
+};
+
+/// Forget the packet.
+struct drop_packet
+{
+    packet_token token;
+    drop_reason reason = drop_reason::unknown_flow;
+};
+
+/// Send a control message to another VM. The runtime authenticates it.
+struct send_control
+{
+    vm_id target;
+    control_body body;
+};
+
+/// Start one blocking watch of the platform; exactly one `platform_listed` or
+/// `platform_failed` answers it.
+struct watch_platform
+{
+    platform_index after;
+    duration wait{};
+};
+
+/// Fetch a document; exactly one `document_fetched` or
+/// `document_fetch_failed` answers it.
+struct fetch_document
+{
+    /// Absent: from the platform.
+    std::optional<vm_id> source;
+    std::string name;
+    /// The least version that is of use.
+    document_version version;
+};
+
+/// Probe an upstream's health endpoint; exactly one `upstream_probed` answers.
+struct probe_upstream
+{
+    upstream_id upstream;
+    std::uint16_t health_port = 0;
+};
+
+/// The caller confirmed an opening: for the histograms.
+struct observe_handshake
+{
+    organisation_id organisation;
+    flow_class traffic = flow_class::form;
+    duration latency{};
+};
+
+/// The planned leave is complete: the process may exit.
+struct leave_complete
+{
+};
+
+/// What operators see in the log, one line each.
+enum class report_kind : std::uint8_t
+{
+    member_joined,
+    member_suspected,
+    member_died,
+    member_left,
+    view_expired,
+    view_refreshed,
+    ready,
+    started_alone,
+    document_in_force,
+    document_rejected,
+    platform_unreachable,
+    platform_reachable,
+    platform_stale,
+    upstream_ejected,
+    upstream_restored,
+    leave_started,
+    leave_finished,
+    pin_conflict,
+};
+
+/// One thing worth a log line.
+struct report
+{
+    report_kind kind = report_kind::ready;
+    /// A VM, upstream or document, as text; may be empty.
+    std::string subject;
+    /// More of it, as text; may be empty.
+    std::string detail;
+};
+
+using effect = std::variant<
+    send_to_upstream,
+    send_to_peer,
+    refuse_opening,
+    drop_packet,
+    send_control,
+    watch_platform,
+    fetch_document,
+    probe_upstream,
+    observe_handshake,
+    leave_complete,
+    report>;
+
+using effect_list = std::vector<effect>;
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/event/event.hpp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <protocol/control_message.hpp>
+#include <protocol/peer_frame.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Everything that can happen to one VM of the system. Each event carries the
+/// time at which it happened; the reducer has no clock of its own.
+namespace cairnhead
+{
+
+/// What a caller's packet means for its flow.
+enum class packet_phase : std::uint8_t
+{
+    /// TCP SYN without data: nothing that could run twice.
+    opening,
+    /// TCP SYN that carries data (fast open).
+    opening_with_data,
+    /// TCP segment of a flow that exists already.
+    ongoing,
+    /// TCP FIN: the caller will send nothing more.
+    closing,
+    /// TCP RST from the caller.
+    reset,
+    /// UDP: it may open a flow or belong to one.
+    datagram,
+};
+
+/// A caller's packet arrived: from the fabric (no frame) or from another VM.
+struct packet_arrived
+{
+    flow_id flow;
+    endpoint destination;
+    packet_phase phase = packet_phase::ongoing;
+    packet_token token;
+    std::optional<peer_frame> frame;
+};
+
+/// An authenticated control message arrived.
+struct control_arrived
+{
+    control_message message;
+};
+
+/// Time passed. The runtime sends one every `tick_period`.
+struct tick
+{
+};
+
+/// How often the runtime sends `tick`.
+inline constexpr auto tick_period = std::chrono::milliseconds(100);
+
+/// The process started; always the first event.
+struct started
+{
+    /// Higher than in any earlier life of this VM (the wall clock's
+    /// milliseconds serve).
+    incarnation life;
+};
+
+/// The operator asked for a planned leave.
+struct leave_requested
+{
+};
+
+/// The platform answered a watch.
+struct platform_listed
+{
+    platform_index index;
+    std::vector<document_stamp> documents;
+    /// The platform's lagging list of VMs, as addresses.
+    std::vector<vm_id> vms;
+};
+
+/// A platform call failed.
+struct platform_failed
+{
+};
+
+/// A document's text arrived.
+struct document_fetched
+{
+    /// Absent when the platform sent it.
+    std::optional<vm_id> source;
+    std::string name;
+    document_version version;
+    std::string text;
+};
+
+/// A document could not be had.
+struct document_fetch_failed
+{
+    std::optional<vm_id> source;
+    std::string name;
+};
+
+/// A probe of an upstream ended. `age_milliseconds` is zero.
+struct upstream_probed
+{
+    upstream_report report;
+};
+
+struct event
+{
+    time_point now;
+    std::variant<
+        packet_arrived,
+        control_arrived,
+        tick,
+        started,
+        leave_requested,
+        platform_listed,
+        platform_failed,
+        document_fetched,
+        document_fetch_failed,
+        upstream_probed>
+        body;
+};
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/model/forward.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace cairnhead
+{
+
+class directory;
+struct service;
+struct service_limits;
+struct upstream;
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/protocol/control_message.hpp
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <protocol/member_update.hpp>
+#include <protocol/pin_claim.hpp>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// The control messages between entry VMs. Each fits one datagram of at most
+/// `maximum_control_bytes`; senders split longer lists.
+namespace cairnhead
+{
+
+/// Payload bound of one control datagram, below a usual MTU.
+inline constexpr std::size_t maximum_control_bytes = 1200;
+
+/// Are you there? Carries claims and the digest of the sender's documents.
+struct ping
+{
+    std::uint32_t sequence = 0;
+    std::uint64_t documents_digest = 0;
+    std::vector<member_update> updates;
+
+    bool operator==(ping const&) const = default;
+};
+
+/// The answer to `ping`; `subject` differs from the sender when it is relayed
+/// for a `ping_request`.
+struct ping_answer
+{
+    std::uint32_t sequence = 0;
+    vm_id subject;
+    std::uint64_t documents_digest = 0;
+    std::vector<member_update> updates;
+
+    bool operator==(ping_answer const&) const = default;
+};
+
+/// Please ping `target` for me: I cannot reach it.
+struct ping_request
+{
+    std::uint32_t sequence = 0;
+    vm_id target;
+    std::vector<member_update> updates;
+
+    bool operator==(ping_request const&) const = default;
+};
+
+/// Whether a listing asks the receiver to answer with its own.
+enum class listing_kind : std::uint8_t
+{
+    request = 0,
+    answer = 1,
+};
+
+/// All members the sender knows (in parts): joins and healing use it.
+struct member_listing
+{
+    listing_kind kind = listing_kind::request;
+    std::vector<member_update> members;
+
+    bool operator==(member_listing const&) const = default;
+};
+
+/// One document and the highest version of it that the sender has.
+struct document_stamp
+{
+    std::string name;
+    document_version version;
+
+    bool operator==(document_stamp const&) const = default;
+};
+
+/// The documents the sender has (in parts). The receiver fetches newer ones
+/// and, for a request, answers with its own list.
+struct document_listing
+{
+    listing_kind kind = listing_kind::request;
+    std::vector<document_stamp> documents;
+
+    bool operator==(document_listing const&) const = default;
+};
+
+/// Pins of idle flows, copied to where they now belong.
+struct pin_batch
+{
+    std::vector<pin_claim> pins;
+
+    bool operator==(pin_batch const&) const = default;
+};
+
+/// What an upstream's health endpoint said of it.
+enum class upstream_condition : std::uint8_t
+{
+    healthy = 0,
+    draining = 1,
+    /// It asks for less work.
+    shedding = 2,
+    /// The probe failed or said so.
+    failed = 3,
+};
+
+/// One probe result, as spread by the VMs that probe.
+struct upstream_report
+{
+    upstream_id upstream;
+    upstream_condition condition = upstream_condition::healthy;
+    /// Load as the upstream tells it, 1000 = all slots busy. Not trusted.
+    std::uint16_t load_permille = 0;
+    /// Age of the observation when the message was sent, milliseconds.
+    std::uint32_t age_milliseconds = 0;
+
+    bool operator==(upstream_report const&) const = default;
+};
+
+struct upstream_report_listing
+{
+    std::vector<upstream_report> reports;
+
+    bool operator==(upstream_report_listing const&) const = default;
+};
+
+/// Everything one VM can say to another besides callers' packets.
+using control_body = std::variant<
+    ping,
+    ping_answer,
+    ping_request,
+    member_listing,
+    document_listing,
+    pin_batch,
+    upstream_report_listing>;
+
+struct control_message
+{
+    vm_id sender;
+    control_body body;
+
+    bool operator==(control_message const&) const = default;
+};
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/settings/settings.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <base/identifiers.hpp>
+#include <event/settings.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// The settings file of one entry VM.
+namespace cairnhead
+{
+
+/// A UDP or TCP address.
+struct socket_address
+{
+    ipv4_address address;
+    std::uint16_t port = 0;
+
+    bool operator==(socket_address const&) const = default;
+};
+
+/// A key that peers share. `id` tells keys apart during rotation.
+struct peer_key
+{
+    std::uint8_t id = 0;
+    std::array<std::uint8_t, 32> secret{};
+};
+
+/// The fabric's side: where callers' packets come from and go to.
+struct fabric_settings
+{
+    /// UDP port on the own address for encapsulated packets (GUE: 6080).
+    std::uint16_t listen_port = 6080;
+    /// Packets from other addresses are dropped and counted.
+    std::vector<ipv4_address> sources;
+    /// Where packets bound for callers (refusals) are sent.
+    socket_address return_path;
+    /// A packet that waited longer than this in the socket is dropped: the
+    /// process was paused, and the caller has sent it again since.
+    duration maximum_packet_age = 2s;
+};
+
+struct peer_settings
+{
+    /// UDP port for frames and control messages.
+    std::uint16_t port = 6081;
+    /// TCP port from which peers fetch documents.
+    std::uint16_t document_port = 6083;
+    /// The first signs; all are accepted. One or two.
+    std::vector<peer_key> keys;
+};
+
+struct logging_settings
+{
+    /// `debug`, `info`, `warning` or `error`.
+    std::string level = "info";
+    /// Lines beyond this are counted, not written.
+    std::uint32_t lines_per_second = 50;
+};
+
+struct daemon_settings
+{
+    reducer_settings reducer;
+    /// The failure domain's name, for people.
+    std::string failure_domain;
+    fabric_settings fabric;
+    /// UDP port at which upstreams decapsulate.
+    std::uint16_t upstream_port = 6080;
+    peer_settings peers;
+    /// Keys the hash of flows; the same on all VMs.
+    std::array<std::uint8_t, 16> flow_key{};
+    /// Base URL of the platform, `http://127.0.0.1:8500`.
+    std::string platform_url;
+    /// TCP port on the own address for the command line client.
+    std::uint16_t control_port = 6084;
+    /// TCP port on the own address for metrics; zero turns them off.
+    std::uint16_t metrics_port = 9100;
+    logging_settings logging;
+};
+
+/// Reads a settings file. Throws `settings_rejected` with every error found.
+/// Thread safety: no shared state.
+[[nodiscard]] daemon_settings parse_settings(std::string_view text);
+
+} // namespace cairnhead
