--- /dev/null
+++ b/libraries/reducer/reducer.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <admission/admission.hpp>
+#include <event/effect.hpp>
+#include <event/event.hpp>
+#include <event/settings.hpp>
+#include <membership/membership.hpp>
+#include <ownership/ownership_table.hpp>
+#include <pins/pin_table.hpp>
+#include <placement/placement.hpp>
+#include <reducer/flow_router.hpp>
+#include <reducer/handover.hpp>
+#include <reducer/reducer_view.hpp>
+#include <versions/version_store.hpp>
+
+#include <optional>
+
+namespace cairnhead
+{
+
+/// Every decision of one VM: events in, effects out. Deterministic: the same
+/// settings and events give the same effects. It has no clock, socket, thread
+/// or unseeded random number, so a test, a benchmark and the daemon drive the
+/// very same code.
+/// Thread safety of all methods: none; one thread at a time.
+class reducer
+{
+public:
+    explicit reducer(reducer_settings const& settings);
+
+    /// Applies one event and appends its effects in the order in which they
+    /// are to be carried out. Precondition: the first event is `started`, and
+    /// `now` never falls.
+    void apply(event const& event, effect_list& effects);
+
+    /// The same for a caller's packet, without making an `event` of it.
+    void
+    apply(time_point now, packet_arrived const& packet, effect_list& effects);
+
+    /// What the command line client shows. Precondition: started.
+    [[nodiscard]] reducer_view view(time_point now) const;
+
+    /// Where a flow is and why. Precondition: started.
+    [[nodiscard]] flow_explanation
+    explain(time_point now, flow_id flow, endpoint const& destination) const;
+
+    /// The declarations in force, with what peers may fetch.
+    [[nodiscard]] version_store const& documents() const;
+
+    /// The pins, for measurements and views.
+    [[nodiscard]] pin_table const& pins() const;
+
+private:
+    void handle(time_point now, packet_arrived const& body, effect_list& out);
+    void handle(time_point now, control_arrived const& body, effect_list& out);
+    void handle(time_point now, tick const& body, effect_list& out);
+    void handle(time_point now, started const& body, effect_list& out);
+    void handle(time_point now, leave_requested const& body, effect_list& out);
+    void handle(time_point now, platform_listed const& body, effect_list& out);
+    void handle(time_point now, platform_failed const& body, effect_list& out);
+    void handle(time_point now, document_fetched const& body, effect_list& out);
+    void
+    handle(time_point now, document_fetch_failed const& body, effect_list& out);
+    void handle(time_point now, upstream_probed const& body, effect_list& out);
+
+    void receive(
+        time_point now, vm_id sender, ping const& message, effect_list& out);
+    void receive(
+        time_point now,
+        vm_id sender,
+        ping_answer const& message,
+        effect_list& out);
+    void receive(
+        time_point now,
+        vm_id sender,
+        ping_request const& message,
+        effect_list& out);
+    void receive(
+        time_point now,
+        vm_id sender,
+        member_listing const& message,
+        effect_list& out);
+    void receive(
+        time_point now,
+        vm_id sender,
+        document_listing const& message,
+        effect_list& out);
+    void receive(
+        time_point now,
+        vm_id sender,
+        pin_batch const& message,
+        effect_list& out);
+    void receive(
+        time_point now,
+        vm_id sender,
+        upstream_report_listing const& message,
+        effect_list& out);
+
+    void notice_pause(time_point now, effect_list& out);
+    void apply_membership_changes(time_point now);
+    void apply_document_changes(time_point now);
+    void update_readiness(time_point now, effect_list& out);
+
+    reducer_settings settings;
+    membership members;
+    ownership_table ownership;
+    pin_table pin_store;
+    version_store versions;
+    placement placer;
+    admission admitter;
+    flow_router router;
+    handover handing_over;
+
+    std::uint64_t applied_membership = ~std::uint64_t(0);
+    std::uint64_t applied_documents = ~std::uint64_t(0);
+    std::vector<vm_id> domain_vms;
+    std::vector<vm_id> peer_vms;
+    /// A tick that comes after this shows that the process was paused.
+    time_point lease_ends_at;
+    bool is_started = false;
+    bool is_ready = false;
+};
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/reducer/reducer_view.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <event/effect.hpp>
+#include <membership/membership.hpp>
+#include <ownership/ownership_table.hpp>
+#include <placement/placement.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Read-only answers for operators.
+namespace cairnhead
+{
+
+/// Where a VM is in its life.
+enum class serving_state : std::uint8_t
+{
+    /// It does not know the highest versions yet and places nothing new.
+    joining,
+    serving,
+    /// The process was paused and waits for a peer to confirm its view.
+    view_expired,
+    leaving,
+};
+
+/// A copy of what one VM believes; safe to hand to another thread.
+struct reducer_view
+{
+    vm_identity self;
+    serving_state state = serving_state::joining;
+    std::size_t pins = 0;
+    std::size_t pin_bytes = 0;
+    bool is_reader = false;
+    std::uint64_t documents_generation = 0;
+    std::vector<document_stamp> documents;
+    std::vector<member> members;
+    std::shared_ptr<directory const> declarations;
+    std::vector<placement::upstream_view> upstreams;
+};
+
+/// Which rule decides about a flow's next packet.
+enum class routing_rule : std::uint8_t
+{
+    /// This VM holds the pin.
+    own_pin,
+    /// Another VM owns the flow and is asked.
+    ask_owner,
+    /// This VM owns the flow and has no pin: earlier holders are asked.
+    ask_earlier_holders,
+    /// This VM owns the flow, and nobody has a pin: an opening is placed.
+    place_opening,
+    unknown_destination,
+};
+
+struct flow_explanation
+{
+    routing_rule rule = routing_rule::unknown_destination;
+    std::string service;
+    flow_holders holders;
+    std::optional<upstream_id> pinned;
+    std::optional<upstream_id> predicted;
+    std::uint64_t documents_generation = 0;
+};
+
+} // namespace cairnhead
