Reducer: Route packets by pin, owner, backup, earlier holders, prediction

Cause: the thin path needs every decision about a packet in one place. Ruled out: per-VM flow tables (the fabric sprays packets), replicating flow tables over control (about one byte a flow is available). Conclusion: parts can be joined as they come.

--- a/libraries/base/identifiers.hpp
+++ b/libraries/base/identifiers.hpp
@@ -35,6 +35,24 @@
 /// Counts a VM's lives and its refutations; a higher one supersedes.
 using incarnation = strong_value<struct incarnation_tag, std::uint64_t>;
 
+/// Low bits of an incarnation that count refutations within one life; the
+/// bits above tell lives of the process apart.
+inline constexpr unsigned refutation_bits = 16;
+
+/// The first incarnation of a process started at this moment, wall-clock
+/// milliseconds since 1970.
+constexpr incarnation first_incarnation(std::uint64_t wall_clock_milliseconds)
+{
+    return incarnation(wall_clock_milliseconds << refutation_bits);
+}
+
+/// Which life of the process an incarnation belongs to. A VM that restarted
+/// has lost its pins, while one that merely refuted a suspicion has not.
+constexpr std::uint64_t life_of(incarnation claimed)
+{
+    return claimed.value() >> refutation_bits;
+}
+
 /// The platform's version of one document; it only goes up.
 using document_version =
     strong_value<struct document_version_tag, std::uint64_t>;
--- a/libraries/event/effect.hpp
+++ b/libraries/event/effect.hpp
@@ -30,6 +30,8 @@
     service_mismatch,
     /// A reset or ongoing packet was refused by policy.
     refused_silently,
+    /// Neither the flow's owner nor its backup can be reached now.
+    owner_unreachable,
 };
 
 /// Why an opening was refused. Each has a counter per organisation.
--- a/libraries/event/event.hpp
+++ b/libraries/event/event.hpp
@@ -59,9 +59,9 @@
 /// The process started; always the first event.
 struct started
 {
-    /// Higher than in any earlier life of this VM (the wall clock's
-    /// milliseconds serve).
-    incarnation life;
+    /// When the process started, wall-clock milliseconds since 1970: higher
+    /// than in any earlier life of this VM. See `first_incarnation`.
+    std::uint64_t wall_clock_milliseconds = 0;
 };
 
 /// The operator asked for a planned leave.
--- a/libraries/ownership/ownership_table.hpp
+++ b/libraries/ownership/ownership_table.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
+#include <base/fixed_list.hpp>
 #include <base/time.hpp>
 #include <event/settings.hpp>
 
-#include <absl/container/inlined_vector.h>
+#include <absl/container/flat_hash_map.h>
 #include <cstdint>
 #include <span>
 #include <vector>
@@ -16,6 +17,8 @@
 {
     vm_id id;
     failure_domain_id domain;
+    /// Changes when the VM restarts and so has lost its pins.
+    std::uint64_t life = 0;
 
     bool operator==(ownership_candidate const&) const = default;
 };
@@ -48,7 +51,7 @@
 {
 public:
     /// Slots per table. More slots spread 2,200 VMs more evenly (about 30
-    /// slots each) at 20 bytes a slot.
+    /// slots each) at 28 bytes a slot.
     static constexpr std::size_t slot_count = 65'536;
 
     explicit ownership_table(ownership_settings const& settings);
@@ -67,13 +70,24 @@
 
     /// VMs that held the flow's slot within the retention, most recent first,
     /// without the present holders. No precondition.
-    using earlier_holders = absl::InlinedVector<vm_id, 4>;
-    [[nodiscard]] earlier_holders
+    using vm_list = fixed_list<vm_id, 4>;
+    [[nodiscard]] vm_list
     earlier_holders_of(time_point now, flow_id flow) const;
 
-    /// The table's epoch in which the flow's holders last changed. A pin that
-    /// was last copied in an earlier epoch may lack a copy. No precondition.
-    [[nodiscard]] std::uint32_t changed_epoch_of(flow_id flow) const;
+    /// Whether the flow's holders changed after `since`. No precondition.
+    [[nodiscard]] bool has_changed_since(time_point since, flow_id flow) const;
+
+    /// To which holders `self` should copy a pin that had all its copies in
+    /// `copied_epoch`; empty when another VM does so or nothing is missing.
+    /// Of the VMs that had the pin, one that is still a holder copies; only
+    /// where none is left do the former ones. Precondition: not empty.
+    [[nodiscard]] vm_list
+    copy_targets(vm_id self, flow_id flow, std::uint32_t copied_epoch) const;
+
+    /// Whether the pin has had no change of holders since that epoch.
+    /// No precondition.
+    [[nodiscard]] bool
+    is_copied(flow_id flow, std::uint32_t copied_epoch) const;
 
     /// Grows by one with each change of candidates. No precondition.
     [[nodiscard]] std::uint32_t epoch() const;
@@ -90,35 +104,58 @@
         vm_index backup = no_vm;
         vm_index earlier[earlier_count] = {no_vm, no_vm, no_vm, no_vm};
         std::uint32_t changed_epoch = 0;
-        /// Earlier holders are forgotten after this moment, in seconds of the
-        /// monotonic clock: coarse, to keep a slot small.
-        std::uint32_t earlier_until = 0;
+        /// The change before that one.
+        std::uint32_t previous_epoch = 0;
+        /// Second of the monotonic clock in which the holders last changed;
+        /// coarse, to keep a slot small.
+        std::uint32_t changed_second = 0;
+        /// The holder that was one before the last change too, or `no_vm`.
+        vm_index kept = no_vm;
     };
 
     struct known_vm
     {
-        vm_id id;
-        failure_domain_id domain;
+        ownership_candidate vm;
         bool is_candidate = false;
     };
 
-    [[nodiscard]] static std::size_t slot_index(flow_id flow);
-    [[nodiscard]] vm_index index_of(ownership_candidate const& vm);
+    /// What one call of `set_candidates` changes.
+    struct candidate_change
+    {
+        std::vector<vm_index> joined;
+        std::vector<vm_index> restarted;
+        bool has_removed = false;
+    };
+
+    [[nodiscard]] static std::size_t slot_number_of(flow_id flow);
+    [[nodiscard]] slot const& slot_of(flow_id flow) const;
+    [[nodiscard]] candidate_change
+    register_candidates(std::span<ownership_candidate const> changed);
     [[nodiscard]] std::uint64_t
     score(std::size_t slot_number, vm_index vm) const;
+    [[nodiscard]] bool is_gone(vm_index vm) const;
+    [[nodiscard]] bool is_ranking_needed(
+        std::size_t slot_number, candidate_change const& change) const;
+    [[nodiscard]] bool
+    would_hold(std::size_t slot_number, vm_index joined) const;
     void rank(time_point now, std::size_t slot_number);
-    void consider_joined(
+    void note_restart(
         time_point now,
         std::size_t slot_number,
-        std::span<vm_index const> joined);
+        std::span<vm_index const> restarted);
+    [[nodiscard]] vm_index best_owner(std::size_t slot_number) const;
+    [[nodiscard]] vm_index
+    best_backup(std::size_t slot_number, vm_index owner) const;
     void replace_holders(
         time_point now, slot& changed, vm_index owner, vm_index backup);
+    void stamp_change(time_point now, slot& changed) const;
     static void remember(slot& changed, vm_index holder);
-    [[nodiscard]] vm_index
-    best_backup(std::size_t slot_number, vm_index owner) const;
+    static void forget(slot& changed, vm_index holder);
+    void drop_unused_vms();
 
     ownership_settings settings;
     std::vector<known_vm> known;
+    absl::flat_hash_map<vm_id, vm_index> index_by_id;
     std::vector<vm_index> candidates;
     std::vector<slot> slots;
     std::uint32_t current_epoch = 0;
--- a/libraries/pins/pin_table.hpp
+++ b/libraries/pins/pin_table.hpp
@@ -5,7 +5,6 @@
 #include <model/service.hpp>
 #include <protocol/pin_claim.hpp>
 
-#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 #include <cstdint>
 #include <span>
@@ -21,6 +20,9 @@
     flow_id flow;
     service_id service;
     upstream_id upstream;
+    /// Whose limits the pin counts against; zero when its service was not
+    /// known here at the time, so that it counts against none.
+    organisation_id organisation;
     /// The pin is dropped when no packet of the flow came until then.
     time_point expires_at;
     /// The next packet after this carries the pin to the other holder again,
@@ -44,6 +46,10 @@
 public:
     explicit pin_table(pin_settings const& settings);
 
+    /// The index refers to the pins of this very object.
+    pin_table(pin_table const&) = delete;
+    pin_table& operator=(pin_table const&) = delete;
+
     /// The pin of a flow, or nullptr. Valid until the next insert or remove.
     /// No precondition.
     [[nodiscard]] pin* find(flow_id flow);
@@ -78,6 +84,10 @@
     /// All pins in no particular order; valid until the next insert or remove.
     [[nodiscard]] std::span<pin const> all() const;
 
+    /// The pin at a position of `all()`; `remove` moves the last pin into the
+    /// place of the removed one. Precondition: position < size().
+    [[nodiscard]] pin& at(std::size_t position);
+
     /// Bytes that the table occupies now.
     [[nodiscard]] std::size_t memory_bytes() const;
 
--- a/libraries/protocol/peer_frame.hpp
+++ b/libraries/protocol/peer_frame.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <base/fixed_list.hpp>
 #include <protocol/pin_claim.hpp>
 
-#include <absl/container/inlined_vector.h>
 #include <cstdint>
 #include <optional>
 
@@ -36,7 +36,7 @@
     /// Present for `store_backup` and `adopt`.
     std::optional<pin_claim> claim;
     /// VMs that had no pin for this packet, in the order asked.
-    absl::InlinedVector<vm_id, maximum_visited_vms> visited;
+    fixed_list<vm_id, maximum_visited_vms> visited;
 
     bool operator==(peer_frame const&) const = default;
 };
--- /dev/null
+++ b/libraries/reducer/flow_router.cpp
@@ -0,0 +1,554 @@
+#include <reducer/flow_router.hpp>
+
+#include <base/ipv4.hpp>
+
+#include <utility>
+
+namespace cairnhead
+{
+
+namespace
+{
+
+pin_claim claim_of(pin const& held)
+{
+    return {held.flow, held.service, held.upstream, held.state};
+}
+
+} // namespace
+
+flow_router::flow_router(
+    time_point initial_now,
+    pin_settings const& initial_settings,
+    routing_context const& initial_context,
+    packet_arrived const& initial_packet,
+    effect_list& initial_effects)
+    : now(initial_now), settings(initial_settings), context(initial_context),
+      packet(initial_packet), effects(initial_effects)
+{
+}
+
+void flow_router::route()
+{
+    if (this->context.ownership.is_empty())
+        return this->drop(drop_reason::not_ready);
+    this->holders = this->context.ownership.holders_of(this->packet.flow);
+    pin* const held = this->context.pins.find(this->packet.flow);
+    if (!this->packet.frame)
+        return this->route_from_ingress(held);
+    if (this->packet.frame->visited.size() >= maximum_visited_vms)
+        return this->drop(drop_reason::visited_too_many);
+    this->route_by_role(this->packet.frame->role, held);
+}
+
+void flow_router::route_by_role(frame_role role, pin* held)
+{
+    switch (role)
+    {
+    case frame_role::to_owner:
+        return this->route_from_ingress(held);
+    case frame_role::store_backup:
+        return this->store_backup(held);
+    case frame_role::second_chance:
+        return this->answer_second_chance(held);
+    case frame_role::adopt:
+        return this->adopt(held);
+    case frame_role::exhausted:
+        return this->decide_unknown(held);
+    }
+}
+
+void flow_router::route_from_ingress(pin* held)
+{
+    if (this->holders.owner == this->context.self.id)
+        return this->route_as_owner(held);
+    if (held != nullptr && this->may_send_directly(*held))
+    {
+        this->context.pins.touch(this->now, *held);
+        return this->send_upstream(held->upstream);
+    }
+    this->route_towards_owner(held);
+}
+
+void flow_router::route_as_owner(pin* held)
+{
+    if (held == nullptr)
+        return this->seek_pin();
+    if (!this->is_new_flow_of(*held))
+        return this->forward_pinned(*held);
+    // The caller reuses the ports of a flow that it closed.
+    this->context.release(this->now, *held);
+    this->place_opening();
+}
+
+void flow_router::route_towards_owner(pin* held)
+{
+    if (this->may_ask(this->holders.owner))
+        return this->ask_owner(held);
+    // Without this, every packet of the flow would be lost between the
+    // owner's death and its removal from the members.
+    if (held != nullptr && !this->is_new_flow_of(*held))
+    {
+        this->context.pins.touch(this->now, *held);
+        return this->send_upstream(held->upstream);
+    }
+    if (this->may_ask(this->holders.backup))
+        return this->send_peer(this->holders.backup, frame_role::to_owner);
+    std::optional<vm_id> const next = this->next_earlier_holder();
+    if (next && !this->is_opening_phase())
+        return this->send_peer(*next, frame_role::second_chance);
+    this->drop(drop_reason::owner_unreachable);
+}
+
+void flow_router::ask_owner(pin* held)
+{
+    if (held == nullptr || this->is_opening_phase())
+        return this->send_peer(this->holders.owner, frame_role::to_owner);
+    // The pin rides along: an owner that restarted has none, and would not ask
+    // a VM that is already among those visited.
+    held->refresh_at = this->now + this->settings.refresh_period;
+    this->send_peer_with_claim(this->holders.owner, frame_role::adopt, *held);
+}
+
+void flow_router::store_backup(pin* held)
+{
+    if (!this->packet.frame->claim)
+        return this->drop(drop_reason::service_mismatch);
+    pin_claim const& claim = *this->packet.frame->claim;
+    if (!this->is_claim_consistent(claim))
+        return this->drop(drop_reason::service_mismatch);
+    bool const is_replaced =
+        held != nullptr && held->upstream != claim.upstream &&
+        (held->state == pin_state::opening || this->is_opening_phase());
+    if (is_replaced)
+    {
+        // The owner decided anew: an opening moved away from an upstream that
+        // never answered, or the caller reuses the ports of an ended flow.
+        this->context.release(this->now, *held);
+        held = nullptr;
+    }
+    if (held == nullptr)
+        held = this->context.insert(this->now, claim);
+    // With a full table the packet still goes on: the owner has the pin.
+    if (held == nullptr)
+        return this->send_upstream(claim.upstream);
+    if (held->upstream != claim.upstream)
+    {
+        // Two halves of a split fleet pinned the flow differently. The pin
+        // that stands here stays: an established flow never moves.
+        this->effects.emplace_back(report{
+            report_kind::pin_conflict,
+            format_ipv4(ipv4_address(held->upstream.value())),
+            format_ipv4(ipv4_address(claim.upstream.value()))});
+        return this->send_upstream(held->upstream);
+    }
+    this->context.pins.set_state(this->now, *held, claim.state);
+    if (this->packet.phase == packet_phase::reset)
+        this->context.pins.set_reset(this->now, *held);
+    this->send_upstream(this->note_copied(*held).upstream);
+}
+
+void flow_router::answer_second_chance(pin* held)
+{
+    if (held == nullptr || this->is_new_flow_of(*held))
+        return this->seek_pin();
+    if (this->holders.owner == this->context.self.id)
+        return this->forward_pinned(*held);
+    if (!this->context.members.is_reachable(this->holders.owner))
+    {
+        this->context.pins.touch(this->now, *held);
+        return this->send_upstream(held->upstream);
+    }
+    this->send_peer_with_claim(this->holders.owner, frame_role::adopt, *held);
+}
+
+void flow_router::adopt(pin* held)
+{
+    if (!this->packet.frame->claim)
+        return this->drop(drop_reason::service_mismatch);
+    pin_claim const& claim = *this->packet.frame->claim;
+    if (!this->is_claim_consistent(claim))
+        return this->drop(drop_reason::service_mismatch);
+    if (held != nullptr)
+        return this->forward_pinned(*held);
+    pin* const adopted = this->context.insert(this->now, claim);
+    // With a full table the flow still goes on; the next packet asks again.
+    if (adopted == nullptr)
+        return this->send_upstream(claim.upstream);
+    adopted->refresh_at = this->now;
+    this->forward_pinned(*adopted);
+}
+
+void flow_router::decide_unknown(pin* held)
+{
+    if (held != nullptr && !this->is_new_flow_of(*held))
+        return this->forward_pinned(*held);
+    if (this->holders.owner != this->context.self.id)
+        return this->drop(drop_reason::owner_unreachable);
+    if (this->is_opening_phase())
+        return this->place_opening();
+    this->send_by_prediction();
+}
+
+bool flow_router::may_send_directly(pin const& held) const
+{
+    // Only the backup: a pin left on a former holder may be of an ended flow
+    // whose ports the caller reuses. And only while the owner has heard of the
+    // flow lately, as it would let the pin expire otherwise.
+    return this->holders.backup == this->context.self.id &&
+           held.state == pin_state::established &&
+           this->now < held.refresh_at &&
+           (this->packet.phase == packet_phase::ongoing ||
+            this->packet.phase == packet_phase::datagram);
+}
+
+bool flow_router::is_new_flow_of(pin const& held) const
+{
+    bool const is_syn = this->packet.phase == packet_phase::opening ||
+                        this->packet.phase == packet_phase::opening_with_data;
+    return is_syn && held.state == pin_state::closing;
+}
+
+bool flow_router::is_opening_phase() const
+{
+    return this->packet.phase == packet_phase::opening ||
+           this->packet.phase == packet_phase::opening_with_data ||
+           this->packet.phase == packet_phase::datagram;
+}
+
+bool flow_router::is_claim_consistent(pin_claim const& claim) const
+{
+    if (claim.flow != this->packet.flow)
+        return false;
+    // A packet of one organisation must never reach another's upstream, also
+    // when the VM that sent the claim is wrong. What is not known here yet
+    // cannot be checked and is trusted: the frame is authenticated.
+    directory const& known = this->context.declarations;
+    service const* const claimed = known.find_service(claim.service);
+    upstream const* const target = known.find_upstream(claim.upstream);
+    if (claimed == nullptr || target == nullptr)
+        return true;
+    return claimed->organisation == target->organisation;
+}
+
+bool flow_router::has_visited(vm_id vm) const
+{
+    if (!this->packet.frame)
+        return false;
+    return this->packet.frame->visited.contains(vm);
+}
+
+bool flow_router::may_ask(vm_id vm) const
+{
+    return vm != this->context.self.id && !this->has_visited(vm) &&
+           this->context.members.is_reachable(vm);
+}
+
+std::optional<vm_id> flow_router::next_to_ask() const
+{
+    if (!this->may_have_pin_elsewhere())
+        return std::nullopt;
+    if (this->may_ask(this->holders.backup))
+        return this->holders.backup;
+    return this->next_earlier_holder();
+}
+
+bool flow_router::may_have_pin_elsewhere() const
+{
+    // A new opening has no pin anywhere, unless its slot changed holders
+    // within the life of such a pin: then the caller may be repeating one that
+    // an earlier holder placed. Asking always would double the cost of each.
+    ownership_table const& ownership = this->context.ownership;
+    flow_id const flow = this->packet.flow;
+    switch (this->packet.phase)
+    {
+    case packet_phase::opening:
+    case packet_phase::opening_with_data:
+        return ownership.has_changed_since(
+            this->now - this->settings.opening_lifetime, flow);
+    case packet_phase::datagram:
+        return ownership.has_changed_since(
+            this->now - this->settings.media_lifetime, flow);
+    case packet_phase::ongoing:
+    case packet_phase::closing:
+    case packet_phase::reset:
+        return true;
+    }
+    return true;
+}
+
+std::optional<vm_id> flow_router::next_earlier_holder() const
+{
+    for (vm_id const vm : this->context.ownership.earlier_holders_of(
+             this->now, this->packet.flow))
+    {
+        if (!this->may_ask(vm))
+            continue;
+        return vm;
+    }
+    return std::nullopt;
+}
+
+void flow_router::seek_pin()
+{
+    std::optional<vm_id> const next = this->next_to_ask();
+    if (next)
+        return this->send_peer(*next, frame_role::second_chance);
+    if (this->holders.owner != this->context.self.id)
+        return this->give_back_to_owner();
+    this->decide_unknown(nullptr);
+}
+
+void flow_router::give_back_to_owner()
+{
+    if (!this->context.members.is_reachable(this->holders.owner))
+        return this->drop(drop_reason::owner_unreachable);
+    this->send_peer(this->holders.owner, frame_role::exhausted);
+}
+
+void flow_router::place_opening()
+{
+    if (this->context.permission == placing_permission::joining)
+        return this->drop(drop_reason::not_ready);
+    // A VM that slept may have missed that an upstream left, or that another
+    // VM owns the flow now: it would place work where none may go any more.
+    if (this->context.permission == placing_permission::view_expired)
+        return this->drop(drop_reason::view_expired);
+    service const* const target =
+        this->context.declarations.find_service(this->packet.destination);
+    if (target == nullptr)
+        return this->drop(drop_reason::unknown_destination);
+    // Data in a SYN may run at each upstream that gets the SYN, and two
+    // halves of a split fleet may place it twice. Dropping makes the caller
+    // repeat the SYN without data (RFC 7413 section 4.1.3).
+    bool const may_run_twice =
+        this->packet.phase == packet_phase::opening_with_data &&
+        !target->is_idempotent;
+    if (may_run_twice)
+        return this->drop(drop_reason::refused_silently);
+    std::optional<admission_refusal> const refusal =
+        this->context.admitter.admit(
+            this->now, *target,
+            static_cast<std::uint32_t>(this->context.pins.size()));
+    if (refusal)
+        return this->refuse(*target, refusal->reason, refusal->retry_at);
+    this->place_admitted(*target);
+}
+
+void flow_router::place_admitted(service const& service)
+{
+    placement_result const result =
+        this->context.placer.choose(this->now, service, this->packet.flow);
+    if (auto const* const refused = std::get_if<not_placed>(&result))
+        return this->refuse(service, refused->reason, refused->retry_at);
+    bool const is_datagram = this->packet.phase == packet_phase::datagram;
+    pin_claim const claim{
+        this->packet.flow, service.id, std::get<placed>(result).upstream,
+        is_datagram ? pin_state::established : pin_state::opening};
+    pin* const made = this->context.insert(this->now, claim);
+    if (made == nullptr)
+        return this->refuse(
+            service, refusal_reason::table_full,
+            this->now + this->settings.opening_lifetime);
+    made->may_have_run = this->packet.phase != packet_phase::opening;
+    this->context.count_flow(this->now, *made);
+    this->forward_with_copy(*made);
+}
+
+void flow_router::send_by_prediction()
+{
+    service const* const target =
+        this->context.declarations.find_service(this->packet.destination);
+    if (target == nullptr)
+        return this->drop(drop_reason::unknown_destination);
+    // Never reset what is not known: a wrong upstream would reset a flow that
+    // may well live. Only services whose flows nearly always stand where
+    // prediction puts them take that risk, for the sake of those that do.
+    if (target->prefer != placement_preference::continuity)
+        return this->drop(drop_reason::unknown_flow);
+    std::optional<upstream_id> const predicted =
+        this->context.placer.predict(*target, this->packet.flow);
+    if (!predicted)
+        return this->drop(drop_reason::unknown_flow);
+    pin* const made = this->context.insert(
+        this->now,
+        {this->packet.flow, target->id, *predicted, pin_state::established});
+    if (made == nullptr)
+        return this->send_upstream(*predicted);
+    this->context.count_flow(this->now, *made);
+    this->forward_with_copy(*made);
+}
+
+void flow_router::refuse(
+    service const& service, refusal_reason reason, time_point retry_at)
+{
+    this->effects.emplace_back(refuse_opening{
+        this->packet.token, service.organisation, service.refusal, reason,
+        retry_at});
+}
+
+void flow_router::forward_pinned(pin& held)
+{
+    this->context.count_flow(this->now, held);
+    bool const is_repeat = this->packet.phase == packet_phase::opening &&
+                           held.state == pin_state::opening;
+    if (is_repeat && !this->repeat_opening(held))
+        return this->drop(drop_reason::refused_silently);
+    bool const has_advanced = this->advance_state(held);
+    bool const is_copy_due =
+        has_advanced || this->now >= held.refresh_at ||
+        !this->context.ownership.is_copied(held.flow, held.copied_epoch);
+    if (is_copy_due)
+        return this->forward_with_copy(held);
+    this->send_upstream(held.upstream);
+}
+
+bool flow_router::advance_state(pin& held)
+{
+    switch (this->packet.phase)
+    {
+    case packet_phase::opening:
+    case packet_phase::opening_with_data:
+        // A stray SYN of a living flow changes nothing; the upstream answers
+        // it with a challenge ACK (RFC 9293 section 3.10.7.4).
+        return false;
+    case packet_phase::ongoing:
+    case packet_phase::datagram:
+        if (held.state == pin_state::opening)
+        {
+            this->confirm_opening(held);
+            return true;
+        }
+        this->context.pins.touch(this->now, held);
+        return false;
+    case packet_phase::closing:
+    {
+        bool const is_first = held.state != pin_state::closing;
+        this->context.pins.set_state(this->now, held, pin_state::closing);
+        return is_first;
+    }
+    case packet_phase::reset:
+        this->context.pins.set_reset(this->now, held);
+        return true;
+    }
+    return false;
+}
+
+void flow_router::confirm_opening(pin& held)
+{
+    duration const latency = this->now - this->context.pins.opened_at(held);
+    this->context.pins.set_state(this->now, held, pin_state::established);
+    // A pin adopted with this very packet does not know when it was opened.
+    if (latency == duration::zero())
+        return;
+    this->context.placer.opening_confirmed(
+        this->now, held.upstream, latency, this->effects);
+    this->effects.emplace_back(
+        observe_handshake{held.organisation, held.traffic, latency});
+}
+
+bool flow_router::repeat_opening(pin& held)
+{
+    this->context.placer.opening_repeated(
+        this->now, held.upstream, this->effects);
+    service const* const target =
+        this->context.declarations.find_service(held.service);
+    if (target == nullptr)
+        return true;
+    if (!this->context.admitter.may_repeat(this->now, *target))
+        return false;
+    bool const is_dead =
+        this->context.placer.is_ejected(this->now, held.upstream);
+    if (is_dead && !held.may_have_run)
+        this->move_opening(held, *target);
+    return true;
+}
+
+void flow_router::move_opening(pin& held, service const& service)
+{
+    placement_result const result =
+        this->context.placer.choose(this->now, service, held.flow);
+    auto const* const chosen = std::get_if<placed>(&result);
+    if (chosen == nullptr || chosen->upstream == held.upstream)
+        return;
+    this->context.uncount_flow(this->now, held);
+    held.upstream = chosen->upstream;
+    // The backup still has the old upstream until this packet reaches it.
+    held.refresh_at = this->now;
+    this->context.count_flow(this->now, held);
+}
+
+void flow_router::forward_with_copy(pin& held)
+{
+    vm_id const other = this->holders.backup == this->context.self.id
+                            ? this->holders.owner
+                            : this->holders.backup;
+    if (other == this->context.self.id ||
+        !this->context.members.is_reachable(other))
+    {
+        held.refresh_at = this->now + this->settings.refresh_period;
+        return this->send_upstream(held.upstream);
+    }
+    this->send_peer_with_claim(
+        other, frame_role::store_backup, this->note_copied(held));
+}
+
+pin& flow_router::note_copied(pin& held) const
+{
+    held.refresh_at = this->now + this->settings.refresh_period;
+    held.copied_epoch = this->context.ownership.epoch();
+    return held;
+}
+
+void flow_router::drop(drop_reason reason)
+{
+    this->effects.emplace_back(drop_packet{this->packet.token, reason});
+}
+
+void flow_router::send_upstream(upstream_id upstream)
+{
+    this->effects.emplace_back(send_to_upstream{this->packet.token, upstream});
+}
+
+void flow_router::send_peer(vm_id target, frame_role role)
+{
+    peer_frame frame;
+    frame.sender = this->context.self.id;
+    frame.role = role;
+    if (this->packet.frame)
+        frame.visited = this->packet.frame->visited;
+    bool const is_counted_visit = role != frame_role::exhausted;
+    if (is_counted_visit && !this->has_visited(this->context.self.id))
+        frame.visited.push_back(this->context.self.id);
+    this->effects.emplace_back(
+        send_to_peer{this->packet.token, target, std::move(frame)});
+}
+
+void flow_router::send_peer_with_claim(
+    vm_id target, frame_role role, pin const& held)
+{
+    peer_frame frame;
+    frame.sender = this->context.self.id;
+    frame.role = role;
+    frame.claim = claim_of(held);
+    this->effects.emplace_back(
+        send_to_peer{this->packet.token, target, std::move(frame)});
+}
+
+void store_copied_pins(
+    time_point now, routing_context const& context, pin_batch const& batch)
+{
+    for (pin_claim const& claim : batch.pins)
+    {
+        if (context.pins.find(claim.flow) != nullptr)
+            continue;
+        pin* const added = context.insert(now, claim);
+        if (added == nullptr)
+            continue;
+        added->copied_epoch = context.ownership.epoch();
+        if (context.is_owner_of(claim.flow))
+            context.count_flow(now, *added);
+    }
+}
+
+} // namespace cairnhead
--- a/libraries/reducer/flow_router.hpp
+++ b/libraries/reducer/flow_router.hpp
@@ -1,69 +1,87 @@
 #pragma once
 
-#include <admission/admission.hpp>
-#include <event/effect.hpp>
-#include <event/event.hpp>
-#include <event/settings.hpp>
-#include <membership/membership.hpp>
-#include <ownership/ownership_table.hpp>
-#include <pins/pin_table.hpp>
-#include <placement/placement.hpp>
-#include <versions/version_store.hpp>
+#include <reducer/routing_context.hpp>
 
 namespace cairnhead
 {
 
-/// Whether this VM may place openings.
-enum class placing_permission : std::uint8_t
-{
-    allowed,
-    /// It does not know the highest versions yet.
-    joining,
-    /// It was paused and may act on an old view.
-    view_expired,
-};
-
-/// What routing needs of the rest. All references outlive the call.
-struct routing_context
-{
-    vm_identity const& self;
-    membership const& members;
-    ownership_table const& ownership;
-    pin_table& pins;
-    placement& placer;
-    admission& admitter;
-    directory const& declarations;
-    placing_permission permission;
-};
-
 /// Decides about one caller's packet: to which upstream or VM it goes, or why
-/// it goes nowhere. Holds no state of its own; see docs/DESIGN.md for the
-/// paths a packet can take.
-/// Thread safety of all methods: as the objects in the context.
+/// it goes nowhere. Appends exactly one packet effect for the packet's token.
+///
+/// The paths a packet can take (docs/DESIGN.md draws them):
+///  - opening: ingress -> owner (places) -> backup (stores) -> upstream;
+///  - later packet: ingress -> owner -> upstream, or straight from a holder;
+///  - owner without the pin: asks backup and earlier holders in turn; the one
+///    that knows hands the pin back with the packet (`adopt`); when nobody
+///    does, the owner decides (`exhausted`).
+///
+/// Lives for one packet. Thread safety of all methods: none.
 class flow_router
 {
 public:
-    explicit flow_router(pin_settings const& settings);
-
-    /// Appends exactly one packet effect for the packet's token, besides
-    /// others. Precondition: the context's parts are consistent.
-    void route(
+    /// Precondition: all arguments outlive the router.
+    flow_router(
         time_point now,
+        pin_settings const& settings,
         routing_context const& context,
         packet_arrived const& packet,
-        effect_list& effects) const;
+        effect_list& effects);
 
-    /// Takes pins that another VM copied here. No precondition.
-    void store_copies(
-        time_point now,
-        routing_context const& context,
-        pin_batch const& batch,
-        effect_list& effects) const;
+    /// Decides about the packet. Precondition: called once.
+    void route();
 
 private:
-    struct routing;
+    void route_by_role(frame_role role, pin* held);
+    void route_from_ingress(pin* held);
+    void route_as_owner(pin* held);
+    void route_towards_owner(pin* held);
+    void ask_owner(pin* held);
+    void store_backup(pin* held);
+    void answer_second_chance(pin* held);
+    void adopt(pin* held);
+    void decide_unknown(pin* held);
+
+    [[nodiscard]] bool may_send_directly(pin const& held) const;
+    [[nodiscard]] bool is_new_flow_of(pin const& held) const;
+    [[nodiscard]] bool is_opening_phase() const;
+    [[nodiscard]] bool is_claim_consistent(pin_claim const& claim) const;
+    [[nodiscard]] bool has_visited(vm_id vm) const;
+    [[nodiscard]] bool may_ask(vm_id vm) const;
+    [[nodiscard]] bool may_have_pin_elsewhere() const;
+    [[nodiscard]] std::optional<vm_id> next_to_ask() const;
+    [[nodiscard]] std::optional<vm_id> next_earlier_holder() const;
+
+    void seek_pin();
+    void give_back_to_owner();
+    void place_opening();
+    void place_admitted(service const& service);
+    void send_by_prediction();
+    void refuse(service const& service, refusal_reason reason, time_point at);
 
-    pin_settings settings;
+    void forward_pinned(pin& held);
+    [[nodiscard]] bool advance_state(pin& held);
+    void confirm_opening(pin& held);
+    [[nodiscard]] bool repeat_opening(pin& held);
+    void move_opening(pin& held, service const& service);
+    void forward_with_copy(pin& held);
+    [[nodiscard]] pin& note_copied(pin& held) const;
+
+    void drop(drop_reason reason);
+    void send_upstream(upstream_id upstream);
+    void send_peer(vm_id target, frame_role role);
+    void send_peer_with_claim(vm_id target, frame_role role, pin const& held);
+
+    time_point now;
+    pin_settings const& settings;
+    routing_context const& context;
+    packet_arrived const& packet;
+    effect_list& effects;
+    flow_holders holders;
 };
 
+/// Takes pins that another VM copied here; pins held already stay as they
+/// are. No precondition. Thread safety: as the objects in the context.
+void store_copied_pins(
+    time_point now, routing_context const& context, pin_batch const& batch);
+
 } // namespace cairnhead
--- /dev/null
+++ b/libraries/reducer/reducer.cpp
@@ -0,0 +1,412 @@
+#include <reducer/reducer.hpp>
+
+#include <base/hash.hpp>
+
+#include <algorithm>
+
+namespace cairnhead
+{
+
+namespace
+{
+
+/// Each part gets random numbers of its own, so that a change in one part
+/// does not change the choices of another.
+std::uint64_t seed_for(reducer_settings const& settings, std::string_view part)
+{
+    std::uint64_t const own =
+        hash_pair(settings.random_seed, settings.self.id.value());
+    return hash_pair(own, hash_text(part));
+}
+
+} // namespace
+
+reducer::reducer(reducer_settings const& initial_settings)
+    : settings(initial_settings), members(
+                                      this->settings.membership,
+                                      this->settings.self,
+                                      this->settings.seeds,
+                                      seed_for(this->settings, "membership")),
+      ownership(this->settings.ownership), pin_store(this->settings.pins),
+      versions(
+          this->settings.versions,
+          this->settings.self,
+          seed_for(this->settings, "versions")),
+      placer(
+          this->settings.placement,
+          this->settings.self,
+          seed_for(this->settings, "placement")),
+      admitter(this->settings.admission, this->settings.pins.maximum_pins),
+      handing_over(this->settings.handover, this->settings.pins),
+      declarations(this->versions.current())
+{
+}
+
+void reducer::apply(event const& event, effect_list& effects)
+{
+    this->notice_pause(event.now, effects);
+    std::visit(
+        [&](auto const& body)
+        {
+            this->handle(event.now, body, effects);
+        },
+        event.body);
+    if (std::holds_alternative<packet_arrived>(event.body))
+        return;
+    this->refresh(event.now, effects);
+}
+
+void reducer::apply(
+    time_point now, packet_arrived const& packet, effect_list& effects)
+{
+    this->notice_pause(now, effects);
+    this->handle(now, packet, effects);
+}
+
+reducer_view reducer::view(time_point now) const
+{
+    reducer_view seen;
+    seen.self = this->settings.self;
+    seen.state = this->handing_over.is_leaving() ? serving_state::leaving
+                 : this->current_permission == placing_permission::allowed
+                     ? serving_state::serving
+                 : this->current_permission == placing_permission::joining
+                     ? serving_state::joining
+                     : serving_state::view_expired;
+    seen.pins = this->pin_store.size();
+    seen.pin_bytes = this->pin_store.memory_bytes();
+    seen.is_reader = this->versions.is_reader();
+    seen.documents_generation = this->versions.generation();
+    seen.documents = this->versions.stamps();
+    auto const known = this->members.members();
+    seen.members.assign(known.begin(), known.end());
+    seen.declarations = this->declarations;
+    seen.upstreams = this->placer.views(now);
+    return seen;
+}
+
+flow_explanation reducer::explain(
+    time_point now, flow_id flow, endpoint const& destination) const
+{
+    flow_explanation found;
+    found.documents_generation = this->versions.generation();
+    service const* const target = this->declarations->find_service(destination);
+    if (target != nullptr)
+    {
+        found.service = target->name;
+        found.predicted = this->placer.predict(*target, flow);
+    }
+    if (this->ownership.is_empty())
+        return found;
+    found.holders = this->ownership.holders_of(flow);
+    pin const* const held = this->pin_store.find(flow);
+    if (held != nullptr)
+    {
+        found.pinned = held->upstream;
+        found.rule = routing_rule::own_pin;
+        return found;
+    }
+    if (found.holders.owner != this->settings.self.id)
+        found.rule = routing_rule::ask_owner;
+    else if (!this->ownership.earlier_holders_of(now, flow).empty())
+        found.rule = routing_rule::ask_earlier_holders;
+    else if (target != nullptr)
+        found.rule = routing_rule::place_opening;
+    return found;
+}
+
+version_store const& reducer::documents() const
+{
+    return this->versions;
+}
+
+pin_table const& reducer::pins() const
+{
+    return this->pin_store;
+}
+
+void reducer::handle(
+    time_point now, packet_arrived const& body, effect_list& out)
+{
+    routing_context const parts = this->context();
+    flow_router(now, this->settings.pins, parts, body, out).route();
+}
+
+void reducer::handle(
+    time_point now, control_arrived const& body, effect_list& out)
+{
+    vm_id const sender = body.message.sender;
+    if (this->has_joined)
+        this->members.heard_from(now, sender);
+    std::visit(
+        [&](auto const& message)
+        {
+            this->receive(now, sender, message, out);
+        },
+        body.message.body);
+}
+
+void reducer::handle(time_point now, tick const&, effect_list& out)
+{
+    this->versions.tick(now, out);
+    if (!this->has_joined)
+        return;
+    this->members.tick(now, this->versions.digest(), out);
+    this->placer.tick(now, this->domain_vms, this->peer_vms, out);
+    this->handing_over.tick(now, this->context(), out);
+}
+
+void reducer::handle(time_point now, started const& body, effect_list&)
+{
+    this->first_life = first_incarnation(body.wall_clock_milliseconds);
+    std::vector<document_peer> seeds;
+    for (vm_id const seed : this->settings.seeds)
+    {
+        if (seed == this->settings.self.id)
+            continue;
+        // Their failure domains are not known before they are members.
+        seeds.push_back({seed, failure_domain_id()});
+    }
+    this->versions.set_peers(now, seeds);
+}
+
+void reducer::handle(time_point now, leave_requested const&, effect_list& out)
+{
+    if (this->handing_over.is_leaving())
+        return;
+    out.emplace_back(report{report_kind::leave_started, "", ""});
+    this->handing_over.start_leaving(now);
+    if (!this->has_joined)
+    {
+        // Nobody knows this VM yet, so there is nothing to hand over.
+        out.emplace_back(leave_complete{});
+        return;
+    }
+    this->members.announce_leave(now, out);
+}
+
+void reducer::handle(
+    time_point now, platform_listed const& body, effect_list& out)
+{
+    this->versions.receive(now, body, out);
+    if (this->has_joined)
+        this->members.hint(now, body.vms, out);
+}
+
+void reducer::handle(
+    time_point now, platform_failed const& body, effect_list& out)
+{
+    this->versions.receive(now, body, out);
+}
+
+void reducer::handle(
+    time_point now, document_fetched const& body, effect_list& out)
+{
+    this->versions.receive(now, body, out);
+}
+
+void reducer::handle(
+    time_point now, document_fetch_failed const& body, effect_list& out)
+{
+    this->versions.receive(now, body, out);
+}
+
+void reducer::handle(
+    time_point now, upstream_probed const& body, effect_list& out)
+{
+    this->placer.receive(now, body, out);
+}
+
+void reducer::receive(
+    time_point now, vm_id sender, ping const& message, effect_list& out)
+{
+    if (!this->has_joined)
+        return;
+    this->members.receive(now, sender, message, this->versions.digest(), out);
+    this->versions.compare_digest(now, sender, message.documents_digest, out);
+}
+
+void reducer::receive(
+    time_point now, vm_id sender, ping_answer const& message, effect_list& out)
+{
+    if (!this->has_joined)
+        return;
+    this->members.receive(now, sender, message, out);
+    if (message.subject == sender)
+        this->versions.compare_digest(
+            now, sender, message.documents_digest, out);
+}
+
+void reducer::receive(
+    time_point now, vm_id sender, ping_request const& message, effect_list& out)
+{
+    if (!this->has_joined)
+        return;
+    this->members.receive(now, sender, message, this->versions.digest(), out);
+}
+
+void reducer::receive(
+    time_point now,
+    vm_id sender,
+    member_listing const& message,
+    effect_list& out)
+{
+    if (!this->has_joined)
+        return;
+    this->members.receive(now, sender, message, out);
+}
+
+void reducer::receive(
+    time_point now,
+    vm_id sender,
+    document_listing const& message,
+    effect_list& out)
+{
+    this->versions.receive(now, sender, message, out);
+}
+
+void reducer::receive(
+    time_point now, vm_id, pin_batch const& message, effect_list&)
+{
+    if (!this->has_joined)
+        return;
+    store_copied_pins(now, this->context(), message);
+}
+
+void reducer::receive(
+    time_point now,
+    vm_id sender,
+    upstream_report_listing const& message,
+    effect_list& out)
+{
+    this->placer.receive(now, sender, message, out);
+}
+
+routing_context reducer::context()
+{
+    return {this->settings.self, this->members,
+            this->ownership,     this->pin_store,
+            this->placer,        this->admitter,
+            *this->declarations, this->current_permission};
+}
+
+placing_permission reducer::permission(time_point now) const
+{
+    if (!this->has_joined)
+        return placing_permission::joining;
+    if (!this->members.is_view_fresh(now))
+        return this->current_permission == placing_permission::joining
+                   ? placing_permission::joining
+                   : placing_permission::view_expired;
+    return placing_permission::allowed;
+}
+
+void reducer::notice_pause(time_point now, effect_list& out)
+{
+    bool const was_paused = this->has_joined && now > this->lease_ends_at;
+    this->lease_ends_at = now + this->settings.membership.lease;
+    if (!was_paused)
+        return;
+    // While this process slept the others may have declared it dead, owned
+    // its flows and applied new declarations. A SYN placed now by its old
+    // view could go to an upstream that has left, and a second time.
+    out.emplace_back(report{report_kind::view_expired, "", ""});
+    this->members.expire_view(now, out);
+    this->update_permission(now, out);
+}
+
+void reducer::refresh(time_point now, effect_list& out)
+{
+    this->apply_document_changes(now);
+    this->join_when_caught_up(now, out);
+    this->apply_membership_changes(now);
+    this->update_permission(now, out);
+}
+
+void reducer::join_when_caught_up(time_point now, effect_list& out)
+{
+    // A joiner that owned flows before it knew the highest versions would
+    // place openings by declarations that the others have already left.
+    if (this->has_joined || !this->versions.is_caught_up(now))
+        return;
+    this->has_joined = true;
+    this->lease_ends_at = now + this->settings.membership.lease;
+    this->members.start(now, this->first_life, out);
+}
+
+void reducer::apply_membership_changes(time_point now)
+{
+    if (!this->has_joined)
+        return;
+    if (this->applied_membership == this->members.generation())
+        return;
+    this->applied_membership = this->members.generation();
+    std::vector<document_peer> peers;
+    this->domain_vms.clear();
+    this->peer_vms.clear();
+    for (member const& known : this->members.members())
+    {
+        bool const is_self = known.id == this->settings.self.id;
+        if (!is_self && !this->members.is_reachable(known.id))
+            continue;
+        if (known.domain == this->settings.self.domain)
+            this->domain_vms.push_back(known.id);
+        if (is_self)
+            continue;
+        this->peer_vms.push_back(known.id);
+        peers.push_back({known.id, known.domain});
+    }
+    this->versions.set_peers(now, peers);
+    std::vector<ownership_candidate> const candidates = this->owners();
+    this->ownership.set_candidates(now, candidates);
+    auto const count =
+        static_cast<std::uint32_t>(std::max<std::size_t>(1, candidates.size()));
+    this->admitter.set_vm_count(count);
+    this->placer.set_fleet(
+        count,
+        [this](failure_domain_id domain)
+        {
+            return this->members.is_domain_reachable(domain);
+        });
+}
+
+std::vector<ownership_candidate> reducer::owners() const
+{
+    std::vector<ownership_candidate> candidates;
+    for (member const& known : this->members.members())
+    {
+        // A suspect keeps its flows: it may refute, and moving them twice
+        // costs more than the seconds until it is dead.
+        if (known.status == member_status::leaving ||
+            known.status == member_status::dead)
+            continue;
+        candidates.push_back({known.id, known.domain, life_of(known.life)});
+    }
+    return candidates;
+}
+
+void reducer::apply_document_changes(time_point now)
+{
+    if (this->applied_documents == this->versions.generation())
+        return;
+    this->applied_documents = this->versions.generation();
+    this->declarations = this->versions.current();
+    this->placer.set_directory(now, this->declarations);
+}
+
+void reducer::update_permission(time_point now, effect_list& out)
+{
+    placing_permission const next = this->permission(now);
+    if (next == this->current_permission)
+        return;
+    bool const was_joining =
+        this->current_permission == placing_permission::joining;
+    this->current_permission = next;
+    if (next != placing_permission::allowed)
+        return;
+    out.emplace_back(report{
+        was_joining ? report_kind::ready : report_kind::view_refreshed, "",
+        ""});
+}
+
+} // namespace cairnhead
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -13,7 +13,8 @@
 #include <reducer/reducer_view.hpp>
 #include <versions/version_store.hpp>
 
-#include <optional>
+#include <memory>
+#include <vector>
 
 namespace cairnhead
 {
@@ -96,10 +97,15 @@
         upstream_report_listing const& message,
         effect_list& out);
 
+    [[nodiscard]] routing_context context();
+    [[nodiscard]] placing_permission permission(time_point now) const;
     void notice_pause(time_point now, effect_list& out);
+    void refresh(time_point now, effect_list& out);
+    void join_when_caught_up(time_point now, effect_list& out);
     void apply_membership_changes(time_point now);
     void apply_document_changes(time_point now);
-    void update_readiness(time_point now, effect_list& out);
+    void update_permission(time_point now, effect_list& out);
+    [[nodiscard]] std::vector<ownership_candidate> owners() const;
 
     reducer_settings settings;
     membership members;
@@ -108,17 +114,18 @@
     version_store versions;
     placement placer;
     admission admitter;
-    flow_router router;
     handover handing_over;
+    std::shared_ptr<directory const> declarations;
 
     std::uint64_t applied_membership = ~std::uint64_t(0);
     std::uint64_t applied_documents = ~std::uint64_t(0);
     std::vector<vm_id> domain_vms;
     std::vector<vm_id> peer_vms;
-    /// A tick that comes after this shows that the process was paused.
+    /// An event that comes after this shows that the process was paused.
     time_point lease_ends_at;
-    bool is_started = false;
-    bool is_ready = false;
+    incarnation first_life;
+    placing_permission current_permission = placing_permission::joining;
+    bool has_joined = false;
 };
 
 } // namespace cairnhead
