--- /dev/null
+++ b/libraries/placement/placement_policy.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+
+namespace cairnhead
+{
+
+/// The numbers of the placement policy that were chosen by measurement
+/// (tests/placement/measure_imbalance.cpp). They are no operator settings;
+/// they stand here so that the measurement can vary them.
+struct placement_policy
+{
+    /// `prefer: balance` takes the least loaded of this many rendezvous
+    /// candidates. Also the bound of how far openings can pile onto one
+    /// upstream that is empty: this many times its fair share.
+    std::uint32_t balance_candidates = 4;
+    /// `prefer: balance` keeps the predicted upstream while its load exceeds
+    /// the least by no more than this share.
+    double balance_lean = 0.0;
+    /// `prefer: continuity` leaves an upstream whose load per slot is this
+    /// many times the service's mean.
+    double continuity_excess = 1.5;
+    /// The least share that a report of high load can leave an upstream.
+    double minimum_report_share = 0.8;
+    /// The least share that slow answers can leave an upstream.
+    double minimum_latency_share = 0.5;
+};
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/placement/rendezvous.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <base/identifiers.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <span>
+
+/// Weighted rendezvous hashing of flows over upstreams, in integers only: all
+/// VMs must agree on the result to the last bit, and the C library's
+/// logarithm may differ between the releases that run side by side.
+namespace cairnhead
+{
+
+/// An upstream and its weight.
+struct weighted_upstream
+{
+    upstream_id id;
+    std::uint32_t slots = 1;
+
+    bool operator==(weighted_upstream const&) const = default;
+};
+
+/// The upstream's place in the flow's order of preference: the lowest rank is
+/// its first choice. An upstream is first for a share of flows in proportion
+/// to its slots; zero slots count as one.
+/// No precondition. Thread safety: any number of concurrent callers.
+[[nodiscard]] std::uint64_t
+rendezvous_rank(flow_id flow, weighted_upstream const& candidate);
+
+/// The flow's first choice, or nothing when there is no candidate.
+/// No precondition. Thread safety: any number of concurrent callers.
+[[nodiscard]] std::optional<upstream_id>
+first_choice(flow_id flow, std::span<weighted_upstream const> candidates);
+
+} // namespace cairnhead
--- /dev/null
+++ b/tests/placement/fixture.hpp
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <base/hash.hpp>
+#include <placement/placement.hpp>
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Small declarations and helpers for the placement tests.
+namespace cairnhead::testing
+{
+
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""s;
+
+inline constexpr time_point start{std::chrono::hours(1)};
+inline constexpr vm_identity own{vm_id(1), failure_domain_id(1)};
+
+inline upstream make_upstream(std::uint32_t id)
+{
+    upstream result;
+    result.id = upstream_id(id);
+    result.domain = failure_domain_id(id % 2 == 0 ? 2 : 1);
+    result.slots = 2;
+    result.connections = 2000;
+    result.health_port = 8080;
+    return result;
+}
+
+inline std::vector<upstream> make_upstreams(std::uint32_t count)
+{
+    std::vector<upstream> result;
+    for (std::uint32_t id = 1; id <= count; ++id)
+    {
+        result.push_back(make_upstream(id));
+    }
+    return result;
+}
+
+inline std::shared_ptr<directory const> make_directory(
+    std::vector<upstream> const& upstreams,
+    placement_preference prefer = placement_preference::balance)
+{
+    service only;
+    only.id = service_id(7);
+    only.name = "sales/listings";
+    only.prefer = prefer;
+    for (auto const& one : upstreams)
+    {
+        only.upstreams.push_back(one.id);
+    }
+    return std::make_shared<directory const>(std::vector{only}, upstreams);
+}
+
+/// One VM's placement over one service.
+struct bench
+{
+    placement subject{placement_settings{}, own, 1};
+    std::shared_ptr<directory const> current;
+    effect_list effects;
+
+    explicit bench(std::shared_ptr<directory const> initial)
+    {
+        this->declare(start, std::move(initial));
+    }
+
+    void declare(time_point now, std::shared_ptr<directory const> next)
+    {
+        this->current = std::move(next);
+        this->subject.set_directory(now, this->current);
+    }
+
+    service const& only_service() const
+    {
+        return this->current->services().front();
+    }
+
+    placement_result choose(time_point now, std::uint64_t flow)
+    {
+        return this->subject.choose(now, this->only_service(), make_flow(flow));
+    }
+
+    static flow_id make_flow(std::uint64_t flow)
+    {
+        return flow_id(hash_pair(flow, 99));
+    }
+
+    /// How many of `count` openings each upstream gets (by id), opened.
+    std::vector<std::uint32_t> open(time_point now, std::uint32_t count)
+    {
+        std::vector<std::uint32_t> result(64);
+        for (std::uint32_t flow = 0; flow < count; ++flow)
+        {
+            auto const chosen = this->choose(now, flow);
+            auto const* const where = std::get_if<placed>(&chosen);
+            if (where == nullptr)
+            {
+                continue;
+            }
+            result[where->upstream.value()] += 1;
+            this->subject.flow_opened(now, where->upstream);
+        }
+        return result;
+    }
+
+    void repeat(time_point now, std::uint32_t upstream, std::uint32_t times)
+    {
+        for (std::uint32_t done = 0; done < times; ++done)
+        {
+            this->subject.opening_repeated(
+                now, upstream_id(upstream), this->effects);
+        }
+    }
+
+    void confirm(time_point now, std::uint32_t upstream, duration latency)
+    {
+        this->subject.opening_confirmed(
+            now, upstream_id(upstream), latency, this->effects);
+    }
+
+    void tell(
+        time_point now,
+        std::uint32_t upstream,
+        upstream_condition condition,
+        std::uint16_t load = 0,
+        std::uint32_t age = 0)
+    {
+        upstream_report_listing const listing{
+            {{upstream_id(upstream), condition, load, age}}};
+        this->subject.receive(now, vm_id(9), listing, this->effects);
+    }
+
+    std::size_t count_reports(report_kind kind) const
+    {
+        std::size_t result = 0;
+        for (auto const& one : this->effects)
+        {
+            auto const* const line = std::get_if<report>(&one);
+            result += line != nullptr && line->kind == kind ? 1 : 0;
+        }
+        return result;
+    }
+};
+
+} // namespace cairnhead::testing
