--- a/libraries/event/event.hpp
+++ b/libraries/event/event.hpp
@@ -108,8 +108,7 @@
 
 struct event
 {
-    time_point now;
-    std::variant<
+    using body_type = std::variant<
         packet_arrived,
         control_arrived,
         tick,
@@ -119,8 +118,10 @@
         platform_failed,
         document_fetched,
         document_fetch_failed,
-        upstream_probed>
-        body;
+        upstream_probed>;
+
+    time_point now;
+    body_type body;
 };
 
 } // namespace cairnhead
