Declaration: Read documents, selectors and settings with typed errors

Cause: the reducer's parts and the daemon need organisations' documents, the allotment and a VM's settings as checked values.

Ruled out: YAML::Node. It drops duplicate keys in silence, loses the places of keys, and is built before size, depth and aliases can be looked at. Two readers, one in each library, would have been the same code twice.

Change: libraries/yaml builds a small tree straight from yaml-cpp's events and refuses anchors, aliases, tags, depth above 16 and more than 1 MiB at the event. Typed readers on it collect all errors with line and column. Declaration and settings are read with them. The optional sections of the settings are tables of name, member and range. Errors of settings name the setting, never its value. New error kind alias_not_allowed. Bounds of 256 services, 4096 upstreams and 16 requirements a selector keep one document from holding up all others. Allotments are compared across service and upstream addresses.

Conclusion: parse_organisation, parse_allotment, check_against_allotment, compile_directory and parse_settings can be used.

--- a/libraries/declaration/declaration.hpp
+++ b/libraries/declaration/declaration.hpp
@@ -3,7 +3,9 @@
 #include <declaration/declaration_error.hpp>
 #include <declaration/selector.hpp>
 #include <model/directory.hpp>
+#include <yaml/yaml_value.hpp>
 
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
@@ -20,6 +22,12 @@
 inline constexpr std::string_view organisation_document_prefix =
     "organisations/";
 
+/// Bounds on one document. Matching costs services times upstreams times
+/// requirements on every VM; without bounds one organisation's document
+/// could hold up the decisions for all of them.
+inline constexpr std::size_t maximum_services = 256;
+inline constexpr std::size_t maximum_upstreams = 4096;
+
 /// A range of IPv4 addresses, `198.51.100.0/28`.
 struct address_range
 {
@@ -51,6 +59,8 @@
 {
     service declared;
     selector picks;
+    /// Where its address stands in the document.
+    document_place place{};
 };
 
 /// One organisation's document.
@@ -59,6 +69,8 @@
     std::string organisation;
     std::vector<declared_service> services;
     std::vector<upstream> upstreams;
+    /// Where the upstreams' addresses stand in the document, by name.
+    std::map<std::string, document_place, std::less<>> upstream_places{};
 };
 
 /// Reads an organisation's document. Throws `declaration_rejected` with every
--- a/libraries/declaration/declaration_error.hpp
+++ b/libraries/declaration/declaration_error.hpp
@@ -16,6 +16,8 @@
     not_yaml,
     too_large,
     too_deep,
+    /// Anchors and aliases let a short text stand for a huge tree.
+    alias_not_allowed,
     wrong_type,
     unknown_key,
     missing_key,
--- a/libraries/declaration/selector.hpp
+++ b/libraries/declaration/selector.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
@@ -57,8 +58,19 @@
     label_exists,
     label_absent>;
 
+/// A selector with more requirements than this is refused.
+inline constexpr std::size_t maximum_selector_requirements = 16;
+
 /// Requirements that must all hold, written as operators know it:
-/// `app=listings,tier in (a,b),!draining`.
+/// `app=listings,tier in (a,b),!draining`. The forms are `key`, `!key`,
+/// `key=value`, `key==value`, `key!=value`, `key in (value,…)` and
+/// `key notin (value,…)`; spaces may stand between the parts. In YAML a
+/// selector that starts with `!` must be quoted.
+///
+/// NOTE: A draining upstream needs no `!draining`. The label alone keeps the
+/// upstream in its services' tables: it gets no new work, and its flows live
+/// on. A selector with `!draining` removes the upstream from the service as
+/// soon as the label is there, with any value, `false` included.
 class selector
 {
 public:
--- a/libraries/settings/settings.hpp
+++ b/libraries/settings/settings.hpp
@@ -2,6 +2,7 @@
 
 #include <base/identifiers.hpp>
 #include <event/settings.hpp>
+#include <settings/settings_error.hpp>
 
 #include <array>
 #include <cstdint>
