Versions: Keep the highest version of each document and spread it

Cause: every VM needs the declarations in force, few may read the platform, and a stale or broken source must not take anything back. Ruled out: waiting for the platform on joining (it may be down); removal from the listing as a deletion (it has no version); one verdict for all documents (one organisation's error would stop the others). Change: version_store with its parts: reader election, watch with back-off, fetch queue over several sources, document table with verdicts, listings in datagrams; a fleet of stores as test fixture.

--- /dev/null
+++ b/libraries/versions/document_name.cpp
@@ -0,0 +1,69 @@
+#include <versions/document_name.hpp>
+
+#include <declaration/declaration.hpp>
+
+#include <algorithm>
+
+namespace cairnhead
+{
+
+namespace
+{
+
+constexpr std::string_view accepted_suffix = "#accepted";
+
+bool is_plain(char letter)
+{
+    constexpr char first_printable = '!';
+    constexpr char last_printable = '~';
+    if (letter < first_printable || letter > last_printable)
+        return false;
+    return letter != '#' && letter != '?' && letter != '%';
+}
+
+} // namespace
+
+bool is_document_name(std::string_view name)
+{
+    if (name.size() > maximum_document_name)
+        return false;
+    if (name == allotment_document_name)
+        return true;
+    if (!name.starts_with(organisation_document_prefix))
+        return false;
+    auto const organisation = get_organisation(name);
+    return !organisation.empty() && std::ranges::all_of(organisation, is_plain);
+}
+
+bool is_listed_name(std::string_view name)
+{
+    return is_document_name(get_document_name(name));
+}
+
+bool is_accepted_name(std::string_view name)
+{
+    return name.ends_with(accepted_suffix);
+}
+
+std::string make_accepted_name(std::string_view name)
+{
+    std::string accepted(name);
+    accepted += accepted_suffix;
+    return accepted;
+}
+
+std::string_view get_document_name(std::string_view name)
+{
+    if (is_accepted_name(name))
+        name.remove_suffix(accepted_suffix.size());
+    return name;
+}
+
+std::string_view get_organisation(std::string_view name)
+{
+    if (name == allotment_document_name)
+        return {};
+    return name.substr(organisation_document_prefix.size());
+}
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/versions/platform_watch.cpp
@@ -0,0 +1,81 @@
+#include <versions/platform_watch.hpp>
+
+namespace cairnhead
+{
+
+namespace
+{
+
+/// A watch that has no answer this long after its wait never gets one.
+constexpr duration answer_grace = 10s;
+
+} // namespace
+
+platform_watch::platform_watch(version_settings const& chosen)
+    : wait(chosen.watch_wait),
+      delay(chosen.backoff_minimum, chosen.backoff_maximum)
+{
+}
+
+void platform_watch::tick(
+    time_point now,
+    platform_access access,
+    version_random& random,
+    effect_list& effects)
+{
+    if (this->deadline && now >= *this->deadline)
+        this->failed(now, random, effects);
+    if (this->deadline || now < this->next_start)
+        return;
+    if (access == platform_access::reading)
+        this->start(now, effects);
+}
+
+void platform_watch::start(time_point now, effect_list& effects)
+{
+    this->deadline = now + this->wait + answer_grace;
+    this->early_until = now + this->wait / 2;
+    effects.push_back(watch_platform{this->after, this->wait});
+}
+
+void platform_watch::listed(
+    time_point now,
+    platform_index index,
+    version_random& random,
+    effect_list& effects)
+{
+    if (this->is_unreachable)
+        effects.push_back(report{report_kind::platform_reachable, {}, {}});
+    this->is_unreachable = false;
+    this->was_answered = true;
+    this->deadline.reset();
+
+    // A platform that answers at once without news (its watch is broken, or
+    // replicas of different age take turns) would be read in a tight loop by
+    // every reader, up to its limit of reads. It shows in its call rate.
+    auto const has_news = index > this->after;
+    if (!has_news && now < this->early_until)
+        this->next_start = this->delay.fail(now, random);
+    else
+        this->delay.reset();
+    // The index may fall when the platform was restored; waiting behind the
+    // old one would miss every change until it is reached again.
+    this->after = index;
+}
+
+void platform_watch::failed(
+    time_point now, version_random& random, effect_list& effects)
+{
+    if (!this->is_unreachable)
+        effects.push_back(report{report_kind::platform_unreachable, {}, {}});
+    this->is_unreachable = true;
+    this->deadline.reset();
+    this->next_start = this->delay.fail(now, random);
+}
+
+bool platform_watch::has_answered() const
+{
+    return this->was_answered;
+}
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/versions/version_store.cpp
@@ -0,0 +1,345 @@
+#include <versions/version_store.hpp>
+
+#include <versions/document_name.hpp>
+#include <versions/listing_parts.hpp>
+#include <versions/peer_selection.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cairnhead
+{
+
+namespace
+{
+
+/// A joiner asks this many peers at once.
+constexpr std::size_t join_request_peers = 3;
+
+/// A joiner that got no answer asks again after this.
+constexpr duration join_request_period = 1s;
+
+/// Digests ride on every ping; two VMs that differ for longer (a document
+/// that cannot be read, a slow fetch) would send listings with each of them.
+constexpr duration listing_request_period = 2s;
+
+} // namespace
+
+version_store::version_store(
+    version_settings const& chosen,
+    vm_identity const& own,
+    std::uint64_t random_seed)
+    : settings(chosen), self(own), random(random_seed), fetches(chosen),
+      watch(chosen), in_force(std::make_shared<directory const>())
+{
+}
+
+void version_store::begin(time_point now)
+{
+    if (this->join_deadline)
+        return;
+    this->join_deadline = now + this->settings.join_timeout;
+    this->progress_deadline = now + this->settings.join_timeout;
+    this->next_join_request = now;
+}
+
+void version_store::set_peers(
+    time_point now, std::span<document_peer const> reachable)
+{
+    this->begin(now);
+    this->peers.assign(reachable.begin(), reachable.end());
+    std::erase_if(
+        this->peers,
+        [this](document_peer const& peer)
+        {
+            return peer.id == this->self.id;
+        });
+    this->fetches.keep_peers(this->peers);
+    absl::erase_if(
+        this->next_requests,
+        [this](auto const& entry)
+        {
+            auto const found =
+                std::ranges::find(this->peers, entry.first, &document_peer::id);
+            return found == this->peers.end();
+        });
+    this->update_access(now);
+}
+
+void version_store::update_access(time_point now)
+{
+    auto const is_complete = this->fetches.empty() && this->is_caught_up(now);
+    if (is_complete)
+        this->progress_deadline = now + this->settings.join_timeout;
+    auto const is_elected = is_elected_reader(
+        this->self, this->peers, this->settings.readers_per_domain);
+    this->is_reading =
+        is_elected || this->peers.empty() || now >= this->progress_deadline;
+}
+
+platform_access version_store::get_access() const
+{
+    return this->is_reading ? platform_access::reading : platform_access::none;
+}
+
+void version_store::tick(time_point now, effect_list& effects)
+{
+    this->begin(now);
+    this->compile();
+    this->announce(effects);
+    this->update_access(now);
+    this->watch.tick(now, this->get_access(), this->random, effects);
+    this->ask_peers_on_joining(now, effects);
+    this->fetches.start_due(now, this->get_access(), this->random, effects);
+}
+
+void version_store::ask_peers_on_joining(time_point now, effect_list& effects)
+{
+    auto const is_due = now >= this->next_join_request;
+    if (this->has_peer_answered || this->peers.empty() || !is_due)
+        return;
+    this->next_join_request = now + join_request_period;
+    std::vector<document_peer> asked;
+    std::ranges::sample(
+        this->peers, std::back_inserter(asked), join_request_peers,
+        this->random);
+    for (auto const& peer : asked)
+        this->send_listing(peer.id, listing_kind::request, effects);
+}
+
+void version_store::send_listing(
+    vm_id peer, listing_kind kind, effect_list& effects) const
+{
+    for (auto& part : split_listing(kind, this->documents.stamps()))
+        effects.push_back(send_control{peer, std::move(part)});
+}
+
+void version_store::receive(
+    time_point now, platform_listed const& event, effect_list& effects)
+{
+    this->begin(now);
+    this->watch.listed(now, event.index, this->random, effects);
+    this->report_staleness(event, effects);
+    for (auto const& stamp : event.documents)
+    {
+        if (!is_document_name(stamp.name) || !this->is_of_use(stamp))
+            continue;
+        this->fetches.note_platform(stamp.name, stamp.version);
+    }
+    this->fetches.start_due(now, this->get_access(), this->random, effects);
+}
+
+void version_store::report_staleness(
+    platform_listed const& event, effect_list& effects)
+{
+    auto const is_old = [this](document_stamp const& stamp)
+    {
+        return stamp.version < this->get_highest_known(stamp.name);
+    };
+    auto const old = std::ranges::find_if(event.documents, is_old);
+    auto const was_stale =
+        std::exchange(this->is_platform_stale, old != event.documents.end());
+    if (was_stale || !this->is_platform_stale)
+        return;
+    effects.push_back(report{
+        report_kind::platform_stale, old->name,
+        "version=" + std::to_string(old->version.value())});
+}
+
+document_version version_store::get_highest_known(std::string_view name) const
+{
+    auto const wanted = this->fetches.wanted_version(name);
+    return std::max(
+        this->documents.held_version(name),
+        wanted.value_or(document_version{}));
+}
+
+bool version_store::is_of_use(document_stamp const& stamp) const
+{
+    return this->documents.has_room_for(stamp.name) &&
+           stamp.version > this->documents.held_version(stamp.name);
+}
+
+void version_store::receive(
+    time_point now, platform_failed const&, effect_list& effects)
+{
+    this->begin(now);
+    this->watch.failed(now, this->random, effects);
+}
+
+void version_store::receive(
+    time_point now,
+    vm_id sender,
+    document_listing const& message,
+    effect_list& effects)
+{
+    this->begin(now);
+    // An empty answer comes from another joiner and says nothing.
+    if (message.kind == listing_kind::answer && !message.documents.empty())
+        this->has_peer_answered = true;
+    for (auto const& stamp : message.documents)
+    {
+        if (!is_listed_name(stamp.name) || !this->is_of_use(stamp))
+            continue;
+        this->fetches.note_peer(stamp.name, sender, stamp.version);
+    }
+    if (message.kind == listing_kind::request && !this->documents.empty())
+        this->send_listing(sender, listing_kind::answer, effects);
+    this->fetches.start_due(now, this->get_access(), this->random, effects);
+}
+
+void version_store::compare_digest(
+    time_point now, vm_id peer, std::uint64_t digest, effect_list& effects)
+{
+    this->begin(now);
+    if (digest == this->digest())
+    {
+        this->has_peer_answered |= !this->documents.empty();
+        return;
+    }
+    auto& next_request = this->next_requests[peer];
+    if (now < next_request)
+        return;
+    next_request = now + listing_request_period;
+    this->send_listing(peer, listing_kind::request, effects);
+}
+
+void version_store::receive(
+    time_point now, document_fetched const& event, effect_list& effects)
+{
+    this->begin(now);
+    // An older text than someone has would bring back what operators have
+    // replaced: flows go to upstreams that were taken out. It is noticed as
+    // VMs that disagree, or as a change that comes and goes.
+    auto const is_lower = event.version < this->get_highest_known(event.name);
+    auto const is_usable =
+        is_listed_name(event.name) && event.text.size() <= maximum_text_bytes;
+    if (!is_usable)
+        this->fetches.fail(event.name, event.source);
+    else if (is_lower)
+        this->fetches.fail_lower(event.name, event.source, event.version);
+    else if (this->is_of_use({event.name, event.version}))
+        this->store_text(now, event, effects);
+    this->fetches.start_due(now, this->get_access(), this->random, effects);
+}
+
+void version_store::store_text(
+    time_point now, document_fetched const& event, effect_list& effects)
+{
+    this->documents.store(event.name, event.version, event.text, effects);
+    this->progress_deadline = now + this->settings.join_timeout;
+    this->unannounced.push_back(event.name);
+    this->satisfy_wants(event.name);
+    // While more is on its way, compiling waits for the next tick: a joiner
+    // that takes in thousands of documents would compile after each.
+    if (this->fetches.empty())
+        this->settle(effects);
+}
+
+void version_store::satisfy_wants(std::string_view stored_name)
+{
+    auto const satisfy = [this](std::string_view name)
+    {
+        this->fetches.satisfy(name, this->documents.held_version(name));
+    };
+    auto const own_name = get_document_name(stored_name);
+    satisfy(own_name);
+    satisfy(make_accepted_name(own_name));
+    if (own_name != allotment_document_name)
+        return;
+    // A new allotment changes which texts are accepted.
+    for (auto const& name : this->fetches.names())
+        satisfy(name);
+}
+
+void version_store::settle(effect_list& effects)
+{
+    this->compile();
+    this->announce(effects);
+}
+
+void version_store::compile()
+{
+    if (!this->documents.needs_compile())
+        return;
+    this->in_force =
+        std::make_shared<directory const>(this->documents.compile());
+    ++this->in_force_generation;
+}
+
+void version_store::announce(effect_list& effects)
+{
+    if (this->unannounced.empty())
+        return;
+    auto const names = std::exchange(this->unannounced, {});
+    auto stamps = this->documents.stamps();
+    std::erase_if(
+        stamps,
+        [&names](document_stamp const& stamp)
+        {
+            auto const own_name = get_document_name(stamp.name);
+            return std::ranges::find(names, own_name) == names.end();
+        });
+    // One datagram each. What a joiner takes in at once goes beyond it, and
+    // its peers have that already; digests find what is really missing.
+    auto parts = split_listing(listing_kind::answer, stamps);
+    auto const targets = choose_announce_targets(
+        this->self, this->peers, this->settings.announce_fanout, this->random);
+    for (auto const target : targets)
+        effects.push_back(send_control{target, parts.front()});
+}
+
+void version_store::receive(
+    time_point now, document_fetch_failed const& event, effect_list& effects)
+{
+    this->begin(now);
+    this->fetches.fail(event.name, event.source);
+    this->fetches.start_due(now, this->get_access(), this->random, effects);
+}
+
+std::uint64_t version_store::digest() const
+{
+    return this->documents.digest();
+}
+
+std::shared_ptr<directory const> version_store::current() const
+{
+    return this->in_force;
+}
+
+std::uint64_t version_store::generation() const
+{
+    return this->in_force_generation;
+}
+
+std::optional<version_store::stored_document>
+version_store::find_document(std::string_view name) const
+{
+    auto const* found = this->documents.find(name);
+    if (found == nullptr)
+        return std::nullopt;
+    return stored_document{found->version, found->text};
+}
+
+std::vector<document_stamp> version_store::stamps() const
+{
+    return this->documents.stamps();
+}
+
+bool version_store::is_caught_up(time_point now) const
+{
+    if (this->fetches.is_blocking() || this->documents.needs_compile())
+        return false;
+    if (this->has_peer_answered)
+        return true;
+    if (!this->join_deadline || now < *this->join_deadline)
+        return false;
+    return this->watch.has_answered() || !this->documents.empty();
+}
+
+bool version_store::is_reader() const
+{
+    return this->is_reading;
+}
+
+} // namespace cairnhead
--- a/libraries/versions/version_store.hpp
+++ b/libraries/versions/version_store.hpp
@@ -4,10 +4,15 @@
 #include <event/event.hpp>
 #include <event/settings.hpp>
 #include <model/directory.hpp>
+#include <versions/backoff.hpp>
+#include <versions/document_peer.hpp>
+#include <versions/document_table.hpp>
+#include <versions/fetch_queue.hpp>
+#include <versions/platform_watch.hpp>
 
+#include <absl/container/flat_hash_map.h>
 #include <memory>
 #include <optional>
-#include <random>
 #include <span>
 #include <string>
 #include <string_view>
@@ -15,36 +20,46 @@
 namespace cairnhead
 {
 
-/// A peer that documents may be fetched from or announced to.
-struct document_peer
-{
-    vm_id id;
-    failure_domain_id domain;
-};
-
 /// Which declarations are in force: the highest version seen of each
 /// document, whoever sent it. Few VMs of each failure domain watch the
 /// platform; the others learn from peers.
 ///
 /// A version never falls: a lower one is ignored, even from the platform.
 /// A document that is not valid keeps its organisation at the last good
-/// version and holds back nobody else; its version is remembered so that it
-/// is not fetched again.
+/// version and holds back nobody else; its text is kept and spread, so that
+/// all VMs reach the same verdict on it and none fetches it again. The last
+/// accepted text travels beside it for VMs that join later.
+///
+/// A document that leaves the platform's listing stays in force: a removal
+/// has no version, so it looks like a listing that is old or broken. It ends
+/// when the allotment no longer has its organisation. When the allotment
+/// changes, all documents are checked against it again; what it takes from an
+/// organisation is out of force at once, the rest stays.
+///
+/// A VM that is no reader still reads the platform while it has no peer, or
+/// while it has lacked a document for `join_timeout` without getting any.
 /// Thread safety of all methods: none; one thread, the reducer's.
 class version_store
 {
 public:
+    /// Precondition: `backoff_minimum` is above zero and not above
+    /// `backoff_maximum`.
     version_store(
-        version_settings const& settings,
-        vm_identity const& self,
+        version_settings const& chosen,
+        vm_identity const& own,
         std::uint64_t random_seed);
 
-    /// Which peers are reachable now. Decides whether this VM is a reader.
+    /// Which peers are reachable now, without this VM. Decides whether this
+    /// VM is a reader. What only other peers had is no longer waited for. No
+    /// precondition.
     void set_peers(time_point now, std::span<document_peer const> peers);
 
     /// Starts and repeats watches and fetches, with back-off and jitter.
+    /// No precondition.
     void tick(time_point now, effect_list& effects);
 
+    /// Handlers of the platform's and the peers' answers; late and repeated
+    /// ones do no harm. No precondition.
     void
     receive(time_point now, platform_listed const& event, effect_list& effects);
     void
@@ -61,45 +76,91 @@
         document_listing const& message,
         effect_list& effects);
 
-    /// A peer's digest differs from ours: ask for its listing (rate limited).
+    /// If the peer's digest differs from ours, asks for its listing, at most
+    /// once in a while for each peer. No precondition.
     void compare_digest(
         time_point now, vm_id peer, std::uint64_t digest, effect_list& effects);
 
-    /// Hash over all (name, highest seen version); equal digests mean equal
-    /// documents.
+    /// Hash over `stamps()`; equal digests mean equal documents. No
+    /// precondition.
     [[nodiscard]] std::uint64_t digest() const;
 
-    /// The services and upstreams in force. Never null.
+    /// The services and upstreams in force. Never null. No precondition.
     [[nodiscard]] std::shared_ptr<directory const> current() const;
 
-    /// Grows by one with each change of `current()`.
+    /// Grows by one with each change of `current()`. No precondition.
     [[nodiscard]] std::uint64_t generation() const;
 
-    /// The newest good text of a document, to serve peers.
+    /// A text that peers may fetch.
     struct stored_document
     {
         document_version version;
         std::shared_ptr<std::string const> text;
     };
+    /// The newest text held under a name that `stamps()` lists, refused or
+    /// not: peers judge it for themselves. No precondition.
     [[nodiscard]] std::optional<stored_document>
     find_document(std::string_view name) const;
 
-    /// Names with highest seen versions, sorted by name.
+    /// Names with the versions of the texts held, sorted by name. While a
+    /// document's newest text is refused, its last accepted one has a stamp
+    /// of its own, `NAME#accepted`. No precondition.
     [[nodiscard]] std::vector<document_stamp> stamps() const;
 
     /// Whether this VM holds every document at the highest version that any
-    /// listing heard so far has named, and has heard at least one listing
-    /// (or waited `join_timeout` in vain while holding documents). A joiner
-    /// places nothing new before this is true.
+    /// listing heard so far has named and that can still be had, and has
+    /// heard a peer's documents. Without a peer's answer, after
+    /// `join_timeout`, the platform's listing suffices, or documents held
+    /// already. A document that failed at all its sources several times is
+    /// not waited for. A joiner places nothing new before this is true.
+    ///
+    /// NOTE: This turns false for a moment with each new version, so it must
+    /// gate joining only, not the placement of a VM that has joined.
+    /// No precondition.
     [[nodiscard]] bool is_caught_up(time_point now) const;
 
-    /// Whether this VM watches the platform.
+    /// Whether this VM watches the platform. No precondition.
     [[nodiscard]] bool is_reader() const;
 
 private:
+    void begin(time_point now);
+    void ask_peers_on_joining(time_point now, effect_list& effects);
+    void
+    send_listing(vm_id peer, listing_kind kind, effect_list& effects) const;
+    void report_staleness(platform_listed const& event, effect_list& effects);
+    [[nodiscard]] document_version
+    get_highest_known(std::string_view name) const;
+    [[nodiscard]] bool is_of_use(document_stamp const& stamp) const;
+    void store_text(
+        time_point now, document_fetched const& event, effect_list& effects);
+    void satisfy_wants(std::string_view stored_name);
+    void settle(effect_list& effects);
+    void compile();
+    void announce(effect_list& effects);
+    void update_access(time_point now);
+    [[nodiscard]] platform_access get_access() const;
+
     version_settings settings;
     vm_identity self;
-    // The implementation adds its state here.
+    version_random random;
+    std::vector<document_peer> peers;
+    document_table documents;
+    fetch_queue fetches;
+    platform_watch watch;
+    std::shared_ptr<directory const> in_force;
+    std::uint64_t in_force_generation = 0;
+    /// Names of texts that arrived and were not announced yet.
+    std::vector<std::string> unannounced;
+    /// When each peer may be asked for its listing again.
+    absl::flat_hash_map<vm_id, time_point> next_requests;
+    /// Set by the first event.
+    std::optional<time_point> join_deadline;
+    time_point next_join_request;
+    /// Lacking documents beyond this, the VM reads the platform itself.
+    time_point progress_deadline;
+    bool is_reading = false;
+    bool has_peer_answered = false;
+    bool is_platform_stale = false;
 };
 
 } // namespace cairnhead
--- /dev/null
+++ b/tests/versions/fleet.cpp
@@ -0,0 +1,256 @@
+#include "fleet.hpp"
+
+#include <algorithm>
+
+namespace cairnhead
+{
+
+namespace
+{
+
+constexpr std::uint32_t first_vm = 0x7f000101;
+
+/// Digests ride on pings; one peer is pinged in this many ticks.
+constexpr std::size_t ping_ticks = 5;
+
+} // namespace
+
+void fake_platform::publish(std::string const& name, std::string const& text)
+{
+    auto& target = this->documents[name];
+    target = {target.version + 1, text};
+    ++this->index;
+}
+
+fleet::fleet(std::size_t vms, std::size_t failure_domains)
+    : domains(failure_domains)
+{
+    using namespace version_texts;
+    this->platform.publish("allotment", both_allotted);
+    this->platform.publish(association, association_text);
+    this->platform.publish(brackenlea, brackenlea_text);
+    for (std::size_t vm = 0; vm < vms; ++vm)
+        this->add_node();
+    this->set_all_peers();
+}
+
+void fleet::add_node()
+{
+    auto const number = static_cast<std::uint32_t>(this->nodes.size());
+    auto const domain = static_cast<std::uint32_t>(number % this->domains);
+    vm_identity const self{vm_id(first_vm + number), failure_domain_id(domain)};
+    version_settings settings;
+    settings.readers_per_domain = 1;
+    this->nodes.push_back(
+        {self, version_store(settings, self, number), {}, false, {}});
+}
+
+std::size_t fleet::join()
+{
+    this->add_node();
+    this->set_all_peers();
+    return this->nodes.size() - 1;
+}
+
+void fleet::cut(std::size_t vm)
+{
+    this->nodes[vm].is_cut = true;
+    this->set_all_peers();
+}
+
+void fleet::mend(std::size_t vm)
+{
+    this->nodes[vm].is_cut = false;
+    this->set_all_peers();
+}
+
+void fleet::set_all_peers()
+{
+    for (std::size_t vm = 0; vm < this->nodes.size(); ++vm)
+    {
+        std::vector<document_peer> peers;
+        for (std::size_t other = 0; other < this->nodes.size(); ++other)
+        {
+            if (other == vm || !this->is_connected(vm, other))
+                continue;
+            auto const& self = this->nodes[other].self;
+            peers.push_back({self.id, self.domain});
+        }
+        this->nodes[vm].store.set_peers(this->now, peers);
+    }
+}
+
+void fleet::run(std::size_t ticks)
+{
+    for (std::size_t tick = 0; tick < ticks; ++tick)
+    {
+        this->now += tick_period;
+        auto const moment = this->now.time_since_epoch() / tick_period;
+        for (std::size_t vm = 0; vm < this->nodes.size(); ++vm)
+        {
+            effect_list effects;
+            this->nodes[vm].store.tick(this->now, effects);
+            auto const peer = (vm + moment / ping_ticks) % this->nodes.size();
+            if (moment % ping_ticks == 0 && this->is_connected(vm, peer))
+                this->nodes[vm].store.compare_digest(
+                    this->now, this->nodes[peer].self.id,
+                    this->nodes[peer].store.digest(), effects);
+            this->carry_out(vm, effects);
+        }
+        this->deliver();
+        this->answer_watches();
+        this->deliver();
+    }
+}
+
+void fleet::deliver()
+{
+    while (!this->pending.empty())
+    {
+        auto const next = std::move(this->pending.front());
+        this->pending.pop_front();
+        next();
+    }
+}
+
+template <typename... Arguments>
+void fleet::post(std::size_t to, Arguments... arguments)
+{
+    this->pending.push_back(
+        [this, to, arguments...]
+        {
+            effect_list effects;
+            this->nodes[to].store.receive(this->now, arguments..., effects);
+            this->carry_out(to, effects);
+        });
+}
+
+void fleet::carry_out(std::size_t from, effect_list& effects)
+{
+    for (auto const& wanted : effects)
+        this->carry_out_one(from, wanted);
+    this->log.insert(this->log.end(), effects.begin(), effects.end());
+}
+
+void fleet::carry_out_one(std::size_t from, effect const& wanted)
+{
+    auto& own = this->nodes[from];
+    if (auto const* entry = std::get_if<report>(&wanted))
+        ++own.reports[entry->kind];
+    if (auto const* watch = std::get_if<watch_platform>(&wanted))
+    {
+        ++this->platform.watches;
+        own.watching = watch->after;
+    }
+    if (auto const* document = std::get_if<fetch_document>(&wanted))
+        this->fetch(from, *document);
+    auto const* message = std::get_if<send_control>(&wanted);
+    if (message == nullptr)
+        return;
+    auto const to = this->find(message->target);
+    if (this->is_connected(from, to))
+        this->post(to, own.self.id, std::get<document_listing>(message->body));
+}
+
+void fleet::fetch(std::size_t from, fetch_document const& wanted)
+{
+    if (!wanted.source)
+        return this->fetch_from_platform(from, wanted);
+    auto const source = this->find(*wanted.source);
+    auto const held = this->nodes[source].store.find_document(wanted.name);
+    auto const is_given = held && this->is_connected(from, source) &&
+                          !this->mute.contains(source);
+    if (!is_given)
+        return this->post(
+            from, document_fetch_failed{wanted.source, wanted.name});
+    this->post(
+        from, document_fetched{
+                  wanted.source, wanted.name, held->version, *held->text});
+}
+
+void fleet::fetch_from_platform(std::size_t from, fetch_document const& wanted)
+{
+    ++this->platform.fetches;
+    auto const state = this->platform.state;
+    if (state == platform_state::silent)
+        return;
+    auto const is_given =
+        state == platform_state::good || state == platform_state::old_documents;
+    if (!is_given || this->nodes[from].is_cut)
+        return this->post(
+            from, document_fetch_failed{std::nullopt, wanted.name});
+    auto const& held = this->platform.documents[wanted.name];
+    auto const age = state == platform_state::old_documents ? 1 : 0;
+    this->post(
+        from, document_fetched{
+                  std::nullopt, wanted.name,
+                  document_version(held.version - age), held.text});
+}
+
+void fleet::answer_watches()
+{
+    if (this->platform.state == platform_state::silent)
+        return;
+    platform_listed listing{platform_index(this->platform.index), {}, {}};
+    for (auto const& [name, held] : this->platform.documents)
+        listing.documents.push_back({name, document_version(held.version)});
+    for (std::size_t vm = 0; vm < this->nodes.size(); ++vm)
+    {
+        auto& own = this->nodes[vm];
+        if (!own.watching)
+            continue;
+        auto const is_down =
+            this->platform.state == platform_state::down || own.is_cut;
+        if (!is_down && *own.watching == listing.index)
+            continue;
+        own.watching.reset();
+        if (is_down)
+            this->post(vm, platform_failed{});
+        else
+            this->post(vm, listing);
+    }
+}
+
+version_store& fleet::at(std::size_t vm)
+{
+    return this->nodes[vm].store;
+}
+
+bool fleet::is_caught_up(std::size_t vm)
+{
+    return this->at(vm).is_caught_up(this->now);
+}
+
+std::size_t fleet::size() const
+{
+    return this->nodes.size();
+}
+
+std::size_t fleet::count_reports(std::size_t vm, report_kind kind) const
+{
+    auto const found = this->nodes[vm].reports.find(kind);
+    return found == this->nodes[vm].reports.end() ? 0 : found->second;
+}
+
+bool fleet::all_have(std::string const& name, std::uint64_t version)
+{
+    return std::ranges::all_of(
+        this->nodes,
+        [&](node const& item)
+        {
+            auto const held = item.store.find_document(name);
+            return held && held->version == document_version(version);
+        });
+}
+
+std::size_t fleet::find(vm_id id) const
+{
+    return id.value() - first_vm;
+}
+
+bool fleet::is_connected(std::size_t from, std::size_t to) const
+{
+    return from != to && !this->nodes[from].is_cut && !this->nodes[to].is_cut;
+}
+
+} // namespace cairnhead
--- /dev/null
+++ b/tests/versions/fleet.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "texts.hpp"
+
+#include <versions/version_store.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+
+/// Several version stores with a platform, joined by passing effects on.
+namespace cairnhead
+{
+
+/// How the platform answers.
+enum class platform_state : std::uint8_t
+{
+    good,
+    down,
+    /// No answer yet, and none to come.
+    silent,
+    /// Documents cannot be fetched; listings can.
+    no_documents,
+    /// Fetched documents are one version older than listed.
+    old_documents,
+};
+
+struct fake_platform
+{
+    struct document
+    {
+        std::uint64_t version = 0;
+        std::string text;
+    };
+
+    platform_state state = platform_state::good;
+    std::uint64_t index = 1;
+    std::map<std::string, document> documents;
+    std::uint64_t watches = 0;
+    std::uint64_t fetches = 0;
+
+    void publish(std::string const& name, std::string const& text);
+};
+
+class fleet
+{
+public:
+    /// VM i is in failure domain i modulo `domains`.
+    fleet(std::size_t vms, std::size_t domains);
+
+    /// Lets time pass in ticks of 100 ms.
+    void run(std::size_t ticks);
+
+    /// Adds a VM, which everyone then sees.
+    std::size_t join();
+
+    /// Cuts a VM off from all others and the platform, or mends that.
+    void cut(std::size_t vm);
+    void mend(std::size_t vm);
+
+    [[nodiscard]] version_store& at(std::size_t vm);
+    [[nodiscard]] bool is_caught_up(std::size_t vm);
+    [[nodiscard]] std::size_t size() const;
+    [[nodiscard]] std::size_t
+    count_reports(std::size_t vm, report_kind kind) const;
+
+    /// Whether all VMs have these documents in force.
+    [[nodiscard]] bool all_have(std::string const& name, std::uint64_t version);
+
+    fake_platform platform;
+    /// Peers that give no documents.
+    std::set<std::size_t> mute;
+    std::vector<effect> log;
+    time_point now{};
+
+private:
+    struct node
+    {
+        vm_identity self;
+        version_store store;
+        std::optional<platform_index> watching;
+        bool is_cut = false;
+        std::map<report_kind, std::size_t> reports;
+    };
+
+    void add_node();
+    void set_all_peers();
+    void carry_out(std::size_t from, effect_list& effects);
+    void carry_out_one(std::size_t from, effect const& wanted);
+    void fetch(std::size_t from, fetch_document const& wanted);
+    void fetch_from_platform(std::size_t from, fetch_document const& wanted);
+    void answer_watches();
+    void deliver();
+    [[nodiscard]] std::size_t find(vm_id id) const;
+    [[nodiscard]] bool is_connected(std::size_t from, std::size_t to) const;
+
+    template <typename... Arguments>
+    void post(std::size_t to, Arguments... arguments);
+
+    std::size_t domains;
+    std::vector<node> nodes;
+    std::deque<std::function<void()>> pending;
+};
+
+} // namespace cairnhead
--- /dev/null
+++ b/tests/versions/test_spread.cpp
@@ -0,0 +1,197 @@
+#include "fleet.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace cairnhead;
+using namespace cairnhead::version_texts;
+
+namespace
+{
+
+constexpr std::size_t second = 10;
+
+std::size_t count_readers(fleet& vms)
+{
+    std::size_t readers = 0;
+    for (std::size_t vm = 0; vm < vms.size(); ++vm)
+        readers += vms.at(vm).is_reader() ? 1 : 0;
+    return readers;
+}
+
+} // namespace
+
+Test(spread, changes_reach_every_vm_with_few_readers)
+{
+    for (std::size_t const size : {3, 5, 8})
+    {
+        fleet vms(size, 2);
+        vms.run(3 * second);
+        cr_assert(vms.all_have(association, 1), "%zu VMs", size);
+        cr_expect_eq(count_readers(vms), 2);
+        auto const watches = vms.platform.watches;
+
+        vms.platform.publish(association, association_text);
+        vms.run(1 * second);
+        cr_expect(vms.all_have(association, 2), "%zu VMs", size);
+        cr_expect_leq(vms.platform.watches - watches, 4);
+        for (std::size_t vm = 0; vm < size; ++vm)
+        {
+            cr_expect_eq(vms.at(vm).current()->services().size(), 3);
+            cr_expect_eq(vms.at(vm).digest(), vms.at(0).digest());
+            cr_expect(vms.is_caught_up(vm));
+        }
+    }
+}
+
+Test(spread, a_joiner_learns_from_peers_while_the_platform_is_unusable)
+{
+    // Symptom: a replaced VM forwards nothing until the platform returns.
+    // Sequence: the platform fails; a VM joins a fleet that has documents.
+    // Cause: the joiner waits for the platform instead of its peers.
+    for (auto const state :
+         {platform_state::down, platform_state::silent,
+          platform_state::no_documents, platform_state::old_documents})
+    {
+        fleet vms(4, 2);
+        vms.run(3 * second);
+        vms.platform.state = state;
+        auto const joiner = vms.join();
+        cr_expect_not(vms.is_caught_up(joiner));
+        vms.run(1 * second);
+        cr_expect(vms.is_caught_up(joiner));
+        cr_expect_eq(vms.at(joiner).current()->services().size(), 3);
+    }
+}
+
+Test(spread, a_joiner_without_peers_and_platform_never_catches_up)
+{
+    // Symptom: a VM places flows by documents that it does not have.
+    // Sequence: it starts cut off from all. Cause: waiting ends by time alone.
+    fleet vms(1, 1);
+    vms.platform.state = platform_state::down;
+    vms.run(60 * second);
+    cr_expect_not(vms.is_caught_up(0));
+    cr_expect_eq(vms.count_reports(0, report_kind::platform_unreachable), 1);
+    // 60 s of failures are few reads, since the back-off grows.
+    cr_expect_lt(vms.platform.watches, 16);
+
+    vms.platform.state = platform_state::good;
+    vms.run(31 * second);
+    cr_expect(vms.is_caught_up(0));
+    cr_expect_eq(vms.count_reports(0, report_kind::platform_reachable), 1);
+}
+
+Test(spread, a_vm_that_was_cut_off_keeps_its_version_and_catches_up)
+{
+    // Symptom: a failure domain stops, or goes back, when it is cut off.
+    // Sequence: VM 2 is cut off; a change; it is mended. Cause: documents
+    // that need someone's confirmation to stay in force.
+    fleet vms(4, 2);
+    vms.run(3 * second);
+    vms.cut(2);
+    vms.platform.publish(association, association_text);
+    vms.run(10 * second);
+    cr_expect_eq(vms.at(2).find_document(association)->version.value(), 1);
+    cr_expect_eq(vms.at(2).current()->services().size(), 3);
+    vms.mend(2);
+    vms.run(5 * second);
+    cr_expect(vms.all_have(association, 2));
+}
+
+Test(spread, a_reader_that_vanishes_is_replaced)
+{
+    // Symptom: changes no longer reach one failure domain's VMs from the
+    // platform. Sequence: its reader dies. Cause: a fixed choice of readers.
+    fleet vms(4, 1);
+    vms.run(3 * second);
+    std::size_t reader = 0;
+    while (!vms.at(reader).is_reader())
+        ++reader;
+    vms.cut(reader);
+    vms.platform.publish(association, association_text);
+    vms.run(2 * second);
+    vms.mend(reader);
+    vms.run(5 * second);
+    cr_expect(vms.all_have(association, 2));
+}
+
+Test(spread, a_stale_platform_reverts_nothing_and_is_reported_once)
+{
+    // Symptom: a change that was in force comes undone. Sequence: the
+    // platform answers from a replica that lags. Cause: the platform's word
+    // taken over a higher version that is held.
+    fleet vms(3, 1);
+    vms.platform.publish(association, association_text);
+    vms.run(3 * second);
+    auto const current = vms.platform.documents;
+    vms.platform.documents[association].version = 1;
+    for (auto round = 0; round < 3; ++round)
+    {
+        ++vms.platform.index;
+        vms.run(2 * second);
+    }
+    cr_expect(vms.all_have(association, 2));
+    std::size_t reports = 0;
+    for (std::size_t vm = 0; vm < vms.size(); ++vm)
+        reports += vms.count_reports(vm, report_kind::platform_stale);
+    cr_expect_eq(reports, 1);
+    auto const joiner = vms.join();
+    vms.run(1 * second);
+    cr_expect(vms.is_caught_up(joiner));
+    cr_expect(vms.all_have(association, 2));
+}
+
+Test(spread, a_document_that_leaves_the_listing_stays_in_force)
+{
+    // Symptom: an organisation's services vanish. Sequence: the platform
+    // comes back without its data. Cause: a missing entry read as a removal.
+    fleet vms(3, 1);
+    vms.run(3 * second);
+    vms.platform.documents.clear();
+    ++vms.platform.index;
+    vms.run(5 * second);
+    cr_expect_eq(vms.at(0).current()->services().size(), 3);
+}
+
+Test(spread, a_peer_that_serves_nothing_is_passed_over)
+{
+    // Symptom: VMs lag behind for good. Sequence: the peer that announced a
+    // version, perhaps the only reader, cannot serve it. Cause: only one
+    // source is remembered, or non-readers never turn to the platform.
+    for (std::size_t mute = 0; mute < 5; ++mute)
+    {
+        fleet vms(5, 1);
+        vms.run(3 * second);
+        vms.mute.insert(mute);
+        vms.platform.publish(association, association_text);
+        vms.run(2 * second);
+        auto const is_sole_reader = vms.at(mute).is_reader();
+        cr_expect_eq(vms.all_have(association, 2), !is_sole_reader);
+        vms.run(6 * second);
+        cr_expect(vms.all_have(association, 2));
+        cr_expect_eq(count_readers(vms), 1);
+    }
+}
+
+Test(spread, two_joiners_do_not_vouch_for_each_other)
+{
+    // Symptom: a VM places with no documents. Sequence: all VMs are replaced
+    // at once while the platform is down. Cause: an empty answer believed.
+    fleet vms(3, 1);
+    vms.platform.state = platform_state::down;
+    vms.run(20 * second);
+    for (std::size_t vm = 0; vm < vms.size(); ++vm)
+        cr_expect_not(vms.is_caught_up(vm));
+}
+
+Test(spread, an_unobtainable_document_holds_back_nobody_else)
+{
+    // Symptom: no joiner places anything. Sequence: one organisation's
+    // document cannot be read from the platform; a lone VM starts. Cause: a
+    // joiner that waits for every listed document for ever.
+    fleet vms(1, 1);
+    vms.platform.documents[brackenlea].text.append(maximum_text_bytes, ' ');
+    vms.run(20 * second);
+    cr_expect(vms.is_caught_up(0));
+    cr_expect_eq(vms.at(0).current()->services().size(), 2);
+}
