Membership: Probe peers with suspicion, incarnations and listings

Cause: the reducer needs to know which VMs there are, without a coordination service and with a few kilobytes a second of control traffic per VM.

--- a/libraries/membership/membership.hpp
+++ b/libraries/membership/membership.hpp
@@ -4,8 +4,16 @@
 #include <event/effect.hpp>
 #include <event/event.hpp>
 #include <event/settings.hpp>
-
-#include <absl/container/flat_hash_map.h>
+#include <membership/contact_queue.hpp>
+#include <membership/member.hpp>
+#include <membership/member_deadline_queue.hpp>
+#include <membership/member_table.hpp>
+#include <membership/member_update_queue.hpp>
+#include <membership/ping_relay_table.hpp>
+#include <membership/probe_rotation.hpp>
+#include <membership/view_refresh.hpp>
+
+#include <optional>
 #include <random>
 #include <span>
 #include <vector>
@@ -13,18 +21,6 @@
 namespace cairnhead
 {
 
-/// What this VM knows of one VM (itself included).
-struct member
-{
-    vm_id id;
-    failure_domain_id domain;
-    incarnation life;
-    member_status status = member_status::alive;
-    /// For a suspect: when it becomes dead. For a dead one: when it is
-    /// forgotten.
-    time_point status_deadline;
-};
-
 /// Which VMs of the system are there: probing in the manner of SWIM, with
 /// suspicion, incarnations and claims that ride on the probes. The platform's
 /// VM list is only a hint whom to probe.
@@ -44,7 +40,9 @@
     /// Precondition: called once, before any other method.
     void start(time_point now, incarnation life, effect_list& effects);
 
-    /// Time passed: probes, suspects, declares dead. Precondition: started.
+    /// Time passed: probes, suspects, declares dead. A gap since the last
+    /// tick beyond the lease is this VM's own pause and no evidence against
+    /// others, so coarser ticks never find anyone dead. Precondition: started.
     void
     tick(time_point now, std::uint64_t documents_digest, effect_list& effects);
 
@@ -88,9 +86,12 @@
     /// asks for fresh listings. Precondition: started.
     void expire_view(time_point now, effect_list& effects);
 
-    /// Whether a peer (or, with none left, the lack of any answer for the
-    /// suspicion timeout) has confirmed the view since `expire_view` or
-    /// `start`. While false nothing new may be placed. Precondition: started.
+    /// Whether a peer has confirmed the view since `expire_view` or `start`.
+    /// While false nothing new may be placed. A listing that names this VM's
+    /// current incarnation confirms it; after `expire_view` also the answer
+    /// to a ping sent since. With no peer to ask it is fresh at once; when no
+    /// peer answers for the suspicion timeout and one probe period it becomes
+    /// fresh too, so that a lone survivor goes on. Precondition: started.
     [[nodiscard]] bool is_view_fresh(time_point now) const;
 
     /// All known VMs, self included, sorted by id; dead ones too until they
@@ -101,21 +102,126 @@
     [[nodiscard]] member const* find(vm_id id) const;
 
     /// Changes whenever the set of alive-or-suspect members changes, a member
-    /// starts to leave, or a suspicion starts or ends. No precondition.
+    /// starts to leave or is gone, or a suspicion starts or ends.
+    /// No precondition.
     [[nodiscard]] std::uint64_t generation() const;
 
     /// Whether the VM is alive or leaving, not suspect or dead: it may be
     /// handed packets. No precondition.
     [[nodiscard]] bool is_reachable(vm_id id) const;
 
-    /// Whether any VM of the domain is alive, or none of it was ever known.
-    /// No precondition.
+    /// Whether any VM of the domain is alive (or leaving, which answers too),
+    /// or none of it was ever known. No precondition.
     [[nodiscard]] bool is_domain_reachable(failure_domain_id domain) const;
 
 private:
+    enum class probe_stage : std::uint8_t
+    {
+        direct,
+        indirect,
+    };
+
+    struct outstanding_probe
+    {
+        std::uint32_t sequence = 0;
+        vm_id target;
+        probe_stage stage = probe_stage::direct;
+        time_point deadline;
+        time_point period_end;
+    };
+
+    /// Where a claim comes from; that decides how far it is trusted.
+    enum class claim_source : std::uint8_t
+    {
+        /// Decided here, or received on a ping, answer or request.
+        gossip,
+        /// A listing that this VM asked for because its own view is void.
+        refreshing_listing,
+        /// A listing exchanged with a VM that came back.
+        exchanged_listing,
+    };
+
+    // Claims: what is believed of whom (membership_claims.cpp).
+    void apply(
+        time_point now,
+        member_update const& claim,
+        claim_source source,
+        effect_list& effects);
+    void apply_all(
+        time_point now,
+        std::span<member_update const> claims,
+        claim_source source,
+        effect_list& effects);
+    void adopt(
+        time_point now,
+        member_update const& claim,
+        claim_source source,
+        effect_list& effects);
+    void refute(member_update const& claim);
+    void store(time_point now, member_update const& claim);
+    void suspect(time_point now, vm_id peer, effect_list& effects);
+    void suspect_leaving(time_point now, member const& known);
+    void clear_suspicion(member const& known);
+    void declare_overdue_dead(time_point now, effect_list& effects);
+    void forget_old_dead(time_point now);
+    void drop_evidence();
+    [[nodiscard]] bool is_live_member(vm_id id) const;
+    [[nodiscard]] claim_source listing_source() const;
+
+    // Probing: whom to send what (membership_probing.cpp).
+    void advance_probe(time_point now, effect_list& effects);
+    void begin_probe(time_point now, effect_list& effects);
+    void ask_helpers(time_point now, effect_list& effects);
+    void probe_contacts(effect_list& effects);
+    void probe_absent(time_point now, effect_list& effects);
+    [[nodiscard]] std::optional<vm_id> next_dead();
+    [[nodiscard]] std::optional<vm_id> next_unknown_address();
+    std::uint32_t send_ping(vm_id target, effect_list& effects);
+    [[nodiscard]] std::vector<member_update> updates_for(vm_id recipient);
+
+    // Listings: joining, waking and healing (membership_listing.cpp).
+    void begin_refresh(
+        time_point now, view_proof proof, std::vector<vm_id> candidates);
+    void ask_for_listings(time_point now, effect_list& effects);
+    void send_listing_request(vm_id target, effect_list& effects) const;
+    void exchange_listings(time_point now, vm_id peer, effect_list& effects);
+    void answer_listing(vm_id requester, effect_list& effects) const;
+    [[nodiscard]] std::vector<vm_id> refresh_candidates();
+    void relay_answer(
+        time_point now,
+        vm_id sender,
+        ping_answer const& message,
+        effect_list& effects);
+    [[nodiscard]] member const& own() const;
+
     membership_settings settings;
     vm_identity self;
-    // The implementation adds its state here.
+    std::vector<vm_id> seeds;
+    std::mt19937_64 random;
+
+    member_table table;
+    member_update_queue updates;
+    probe_rotation rotation;
+    ping_relay_table relays;
+    contact_queue contacts;
+    view_refresh refresh;
+    member_deadline_queue suspicions;
+    member_deadline_queue dead;
+
+    /// The latest platform list; with the seeds, the addresses where VMs may
+    /// be that this VM does not know or has forgotten.
+    std::vector<vm_id> hinted;
+    std::size_t next_dead_index = 0;
+    std::size_t next_address_index = 0;
+
+    std::optional<outstanding_probe> probe;
+    std::uint32_t next_sequence = 0;
+    /// The last digest that the versions gave, for pings between ticks.
+    std::uint64_t documents_digest = 0;
+    time_point last_tick_at;
+    time_point next_probe_at;
+    time_point next_absent_probe_at;
+    time_point next_exchange_at;
 };
 
 } // namespace cairnhead
--- /dev/null
+++ b/libraries/membership/membership_probing.cpp
@@ -0,0 +1,156 @@
+#include <membership/membership.hpp>
+
+#include <algorithm>
+#include <bit>
+
+namespace cairnhead
+{
+
+namespace
+{
+
+/// Each claim is sent this often times the binary logarithm of the fleet:
+/// enough to reach every VM although the peers are chosen at random.
+constexpr std::size_t transmissions_per_doubling = 3;
+
+/// Bounds the search for a dead or unknown address, so that a period costs
+/// the same in every fleet; the search goes on there next time.
+constexpr std::size_t absent_candidates = 16;
+
+std::size_t transmission_limit(std::size_t live_members)
+{
+    return transmissions_per_doubling *
+           static_cast<std::size_t>(std::bit_width(live_members));
+}
+
+} // namespace
+
+void membership::advance_probe(time_point now, effect_list& effects)
+{
+    if (!this->probe || now < this->probe->deadline)
+        return;
+    if (this->probe->stage == probe_stage::direct)
+    {
+        this->ask_helpers(now, effects);
+        return;
+    }
+    vm_id const target = this->probe->target;
+    this->probe.reset();
+    this->suspect(now, target, effects);
+}
+
+void membership::ask_helpers(time_point now, effect_list& effects)
+{
+    this->probe->stage = probe_stage::indirect;
+    this->probe->deadline =
+        std::max(this->probe->period_end, now + this->settings.probe_timeout);
+    auto const helpers = this->rotation.sample(
+        this->settings.indirect_probes, this->probe->target, this->table,
+        this->random);
+    for (vm_id const helper : helpers)
+    {
+        ping_request request{
+            this->probe->sequence, this->probe->target,
+            this->updates_for(helper)};
+        effects.push_back(send_control{helper, std::move(request)});
+    }
+}
+
+void membership::begin_probe(time_point now, effect_list& effects)
+{
+    if (this->probe || now < this->next_probe_at)
+        return;
+    time_point const period_end = now + this->settings.probe_period;
+    this->next_probe_at = period_end;
+    auto const target =
+        this->rotation.next(this->table, this->self.id, this->random);
+    if (!target)
+        return;
+    std::uint32_t const sequence = this->send_ping(*target, effects);
+    this->probe = outstanding_probe{
+        sequence, *target, probe_stage::direct,
+        now + this->settings.probe_timeout, period_end};
+}
+
+void membership::probe_contacts(effect_list& effects)
+{
+    while (auto const contact = this->contacts.take())
+    {
+        if (this->is_live_member(*contact))
+            continue;
+        // One a tick: a healed partition may bring hundreds.
+        this->send_ping(*contact, effects);
+        return;
+    }
+}
+
+void membership::probe_absent(time_point now, effect_list& effects)
+{
+    if (now < this->next_absent_probe_at)
+        return;
+    this->next_absent_probe_at = now + this->settings.dead_probe_period;
+    // Neither side of a healed partition probes the other as a live member.
+    // Without these pings it would stay split, seen as two owners for one
+    // flow. The seeds and hints serve when the dead have been forgotten.
+    if (auto const gone = this->next_dead())
+        this->send_ping(*gone, effects);
+    if (auto const address = this->next_unknown_address())
+        this->send_ping(*address, effects);
+}
+
+std::optional<vm_id> membership::next_dead()
+{
+    std::size_t const count = std::min(this->dead.size(), absent_candidates);
+    for (std::size_t looked = 0; looked < count; ++looked)
+    {
+        this->next_dead_index = (this->next_dead_index + 1) % this->dead.size();
+        member_deadline const entry = this->dead.at(this->next_dead_index);
+        member const* known = this->find(entry.vm);
+        if (known != nullptr && !is_live_status(known->status) &&
+            known->status_deadline == entry.deadline)
+            return entry.vm;
+    }
+    return std::nullopt;
+}
+
+std::optional<vm_id> membership::next_unknown_address()
+{
+    std::size_t const total = this->seeds.size() + this->hinted.size();
+    std::size_t const count = std::min(total, absent_candidates);
+    for (std::size_t looked = 0; looked < count; ++looked)
+    {
+        std::size_t const index = (this->next_address_index + 1) % total;
+        this->next_address_index = index;
+        vm_id const address = index < this->seeds.size()
+                                  ? this->seeds[index]
+                                  : this->hinted[index - this->seeds.size()];
+        if (this->find(address) == nullptr)
+            return address;
+    }
+    return std::nullopt;
+}
+
+std::uint32_t membership::send_ping(vm_id target, effect_list& effects)
+{
+    std::uint32_t const sequence = this->next_sequence;
+    ++this->next_sequence;
+    ping message{sequence, this->documents_digest, this->updates_for(target)};
+    effects.push_back(send_control{target, std::move(message)});
+    return sequence;
+}
+
+std::vector<member_update> membership::updates_for(vm_id recipient)
+{
+    std::vector<member_update> claims{make_claim(this->own())};
+    // The accused must hear of it, or it cannot refute.
+    member const* known = this->find(recipient);
+    if (known != nullptr && !is_reachable_status(known->status))
+        claims.push_back(make_claim(*known));
+    std::size_t const bound = this->settings.updates_per_message;
+    std::size_t const room = bound > claims.size() ? bound - claims.size() : 0;
+    this->updates.take(
+        room, transmission_limit(this->table.live_count()), claims);
+    return claims;
+}
+
+} // namespace cairnhead
