--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -37,24 +37,9 @@
     effect_list effects;
 };
 
-struct fleet::scheduled
-{
-    time_point at;
-    std::uint64_t order = 0;
-    std::function<void()> action;
-};
-
-struct fleet::later
-{
-    bool operator()(scheduled const& left, scheduled const& right) const
-    {
-        return std::tie(left.at, left.order) > std::tie(right.at, right.order);
-    }
-};
-
 fleet::fleet(fleet_settings initial_settings)
     : settings(std::move(initial_settings)), random(this->settings.seed),
-      clock(std::chrono::seconds(1'000))
+      time(time_point(std::chrono::seconds(1'000)))
 {
     for (auto const& [name, text] : this->settings.documents)
         this->documents[name] = {text, document_version(1)};
@@ -70,7 +55,8 @@
     this->run_for(std::chrono::seconds(10));
     for (auto const& [id, running] : this->nodes)
     {
-        serving_state const state = running->decides->view(this->clock).state;
+        serving_state const state =
+            running->decides->view(this->time.now()).state;
         if (state != serving_state::serving)
             throw std::logic_error("a VM does not serve after its start");
     }
@@ -78,15 +64,7 @@
 
 void fleet::run_for(duration length)
 {
-    time_point const end = this->clock + length;
-    while (!this->agenda.empty() && this->agenda.top().at <= end)
-    {
-        scheduled const next = this->agenda.top();
-        this->agenda.pop();
-        this->clock = next.at;
-        next.action();
-    }
-    this->clock = end;
+    this->time.run_for(length);
 }
 
 void fleet::kill(vm_id vm)
@@ -97,7 +75,7 @@
     killed.inbox.clear();
     this->watches.erase(vm);
     this->schedule(
-        this->clock + this->settings.fabric_lag,
+        this->time.now() + this->settings.fabric_lag,
         [this, vm]
         {
             if (!this->is_up(vm))
@@ -118,7 +96,8 @@
     resumed.inbox.clear();
     for (node::waiting const& item : waiting)
     {
-        bool const is_old = this->clock - item.arrived_at > maximum_packet_age;
+        bool const is_old =
+            this->time.now() - item.arrived_at > maximum_packet_age;
         bool const is_datagram =
             std::holds_alternative<packet_arrived>(item.body) ||
             std::holds_alternative<control_arrived>(item.body);
@@ -132,7 +111,7 @@
 {
     // Operators take the VM out of the fabric as it begins to leave.
     this->schedule(
-        this->clock + this->settings.fabric_lag,
+        this->time.now() + this->settings.fabric_lag,
         [this, vm]
         {
             std::erase(this->fabric_vms, vm);
@@ -165,12 +144,12 @@
         this->fabric_vms.push_back(vm.id);
     auto const wall_clock = static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(
-            this->clock.time_since_epoch())
+            this->time.now().time_since_epoch())
             .count());
     this->apply(*place, started{wall_clock});
     duration const phase = std::chrono::microseconds(this->random() % 100'000);
     this->schedule(
-        this->clock + phase,
+        this->time.now() + phase,
         [this, vm]
         {
             this->tick(vm.id);
@@ -192,7 +171,7 @@
     published& document = this->documents[name];
     document.text = text;
     document.version = document_version(document.version.value() + 1);
-    this->index = platform_index(this->index.value() + 1);
+    this->current_index = platform_index(this->current_index.value() + 1);
     this->answer_watches();
 }
 
@@ -211,7 +190,7 @@
 {
     this->is_platform_stale = is_stale;
     this->stale_documents = this->documents;
-    this->stale_index = this->index;
+    this->stale_index = this->current_index;
 }
 
 void fleet::kill_upstream(upstream_id upstream)
@@ -256,7 +235,7 @@
         duration const offset(
             static_cast<duration::rep>(this->random() % span));
         this->schedule(
-            this->clock + offset,
+            this->time.now() + offset,
             [this, flow]
             {
                 this->send(flow);
@@ -298,7 +277,7 @@
 
 time_point fleet::now() const
 {
-    return this->clock;
+    return this->time.now();
 }
 
 class reducer& fleet::reducer_of(vm_id vm)
@@ -362,7 +341,7 @@
 
 void fleet::schedule(time_point at, std::function<void()> action)
 {
-    this->agenda.push({at, this->next_order++, std::move(action)});
+    this->time.add(at, std::move(action));
 }
 
 void fleet::tick(vm_id vm)
@@ -374,7 +353,7 @@
         this->apply(*ticking, cairnhead::tick{});
     std::uint32_t const life = ticking->lives;
     this->schedule(
-        this->clock + tick_period,
+        this->time.now() + tick_period,
         [this, vm, life]
         {
             node const* const same = this->find(vm);
@@ -386,7 +365,7 @@
 void fleet::deliver(vm_id vm, event::body_type body)
 {
     this->schedule(
-        this->clock + this->settings.delay,
+        this->time.now() + this->settings.delay,
         [this, vm, moved = std::move(body)]
         {
             node* const target = this->find(vm);
@@ -395,14 +374,14 @@
             if (!target->is_paused)
                 return this->apply(*target, moved);
             if (target->inbox.size() < socket_buffer_packets)
-                target->inbox.push_back({this->clock, moved});
+                target->inbox.push_back({this->time.now(), moved});
         });
 }
 
 void fleet::apply(node& target, event::body_type body)
 {
     effect_list effects;
-    target.decides->apply({this->clock, std::move(body)}, effects);
+    target.decides->apply({this->time.now(), std::move(body)}, effects);
     this->carry_out(target, effects);
 }
 
@@ -424,7 +403,7 @@
     wire_packet const packet = this->packets[body.token.value()];
     upstream_id const target = body.upstream;
     this->schedule(
-        this->clock + this->settings.delay,
+        this->time.now() + this->settings.delay,
         [this, target, packet]
         {
             this->arrive_at_upstream(target, packet);
@@ -470,12 +449,12 @@
         return this->deliver(source.vm.id, platform_failed{});
     this->watches[source.vm.id] = body.after;
     platform_index const current =
-        this->is_platform_stale ? this->stale_index : this->index;
+        this->is_platform_stale ? this->stale_index : this->current_index;
     if (body.after < current)
         return this->answer_watch(source.vm.id);
     vm_id const vm = source.vm.id;
     this->schedule(
-        this->clock + body.wait,
+        this->time.now() + body.wait,
         [this, vm]
         {
             if (this->watches.contains(vm))
@@ -550,7 +529,8 @@
 {
     this->watches.erase(vm);
     platform_listed answer;
-    answer.index = this->is_platform_stale ? this->stale_index : this->index;
+    answer.index =
+        this->is_platform_stale ? this->stale_index : this->current_index;
     auto const& store =
         this->is_platform_stale ? this->stale_documents : this->documents;
     for (auto const& [name, document] : store)
@@ -616,7 +596,7 @@
         (1U << attempt);
     std::uint32_t const round = waiting.attempts;
     this->schedule(
-        this->clock + timeout,
+        this->time.now() + timeout,
         [this, flow, phase, attempt, round]
         {
             caller_flow const& same = this->flows[flow];
@@ -642,7 +622,7 @@
     {
         this->openings_seen[packet.flow].insert(upstream);
         this->schedule(
-            this->clock + this->settings.delay,
+            this->time.now() + this->settings.delay,
             [this, flow = packet.flow, upstream]
             {
                 this->answer_opening(flow, upstream);
@@ -659,7 +639,7 @@
     }
     this->data_seen[packet.flow].insert(upstream);
     this->schedule(
-        this->clock + this->settings.delay,
+        this->time.now() + this->settings.delay,
         [this, flow = packet.flow]
         {
             this->answer_data(flow);
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <reducer/reducer.hpp>
+#include <support/agenda.hpp>
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
@@ -123,8 +123,6 @@
 
 private:
     struct node;
-    struct scheduled;
-    struct later;
 
     void schedule(time_point at, std::function<void()> action);
     void tick(vm_id vm);
@@ -161,9 +159,7 @@
 
     fleet_settings settings;
     std::mt19937_64 random;
-    time_point clock;
-    std::uint64_t next_order = 0;
-    std::priority_queue<scheduled, std::vector<scheduled>, later> agenda;
+    class agenda time;
     std::map<vm_id, std::unique_ptr<node>> nodes;
     std::vector<vm_id> fabric_vms;
     std::set<std::pair<failure_domain_id, failure_domain_id>> cuts;
@@ -175,7 +171,7 @@
     };
     std::map<std::string, published> documents;
     std::map<std::string, published> stale_documents;
-    platform_index index{1};
+    platform_index current_index{1};
     platform_index stale_index{1};
     bool is_platform_down = false;
     bool is_platform_stale = false;
