Declaration: Bound values, reports and subjects of a refused document

Ruled out: a smaller limit of bytes; the largest allowed document has 4096 upstreams and about 80,000 values, so values are what to bound.

Change: at most 100,000 values a document, at most 1,000 errors a report, and unprintable bytes in subjects become `?`.

--- a/libraries/yaml/yaml_reader.hpp
+++ b/libraries/yaml/yaml_reader.hpp
@@ -24,6 +24,19 @@
 /// Longer subjects are cut: they end up in log lines.
 inline constexpr std::size_t maximum_subject_bytes = 80;
 
+/// Nobody mends more than this at once, and reports must stay bounded.
+inline constexpr std::size_t maximum_errors = 1'000;
+
+/// Stands in subjects for every byte that a log line cannot hold: a document
+/// with a line feed in a name could otherwise forge lines of the log.
+inline constexpr char unprintable_mark = '?';
+
+/// Whether the character is no printable ASCII. No precondition.
+[[nodiscard]] constexpr bool is_unprintable(char character)
+{
+    return character < ' ' || character > '~';
+}
+
 /// An error type that the readers can report to: a kind, a place, a subject.
 template <typename Error>
 concept document_error = requires(Error error)
@@ -54,10 +67,14 @@
 public:
     using kind_type = decltype(Error::kind);
 
-    /// Adds one error. No precondition.
+    /// Adds one error; those beyond `maximum_errors` are left out. No
+    /// precondition.
     void add(kind_type kind, document_place place, std::string_view subject)
     {
+        if (this->found.size() == maximum_errors)
+            return;
         std::string cut(subject.substr(0, maximum_subject_bytes));
+        std::ranges::replace_if(cut, is_unprintable, unprintable_mark);
         this->found.push_back({kind, place.line, place.column, std::move(cut)});
     }
 
--- a/libraries/yaml/yaml_value.cpp
+++ b/libraries/yaml/yaml_value.cpp
@@ -141,6 +141,13 @@
         throw yaml_rejected(yaml_error_kind::wrong_type, to_place(mark), tag);
     }
 
+    void count_value(document_place place)
+    {
+        ++this->values;
+        if (this->values > maximum_document_values)
+            throw yaml_rejected(yaml_error_kind::too_large, place, {});
+    }
+
     void open_collection(yaml_value value)
     {
         if (this->open.size() < maximum_document_depth)
@@ -160,6 +167,7 @@
 
     void add(yaml_value value)
     {
+        this->count_value(value.place);
         if (this->open.empty())
         {
             this->root = std::move(value);
@@ -197,6 +205,7 @@
     }
 
     std::vector<open_value> open;
+    std::size_t values = 0;
     yaml_value root;
 };
 
--- a/libraries/yaml/yaml_value.hpp
+++ b/libraries/yaml/yaml_value.hpp
@@ -26,6 +26,11 @@
 /// Documents with more nested mappings and sequences than this are refused.
 inline constexpr std::size_t maximum_document_depth = 16;
 
+/// Documents with more keys, scalars and collections than this are refused.
+/// Reading takes time by their number: a megabyte of tiny values from one
+/// organisation would hold up the decisions for all.
+inline constexpr std::size_t maximum_document_values = 100'000;
+
 struct yaml_entry;
 
 /// `key:` with nothing after it, or `~`.
--- a/tests/declaration/test_declaration.cpp
+++ b/tests/declaration/test_declaration.cpp
@@ -1,6 +1,7 @@
 #include <base/hash.hpp>
 #include <base/ipv4.hpp>
 #include <declaration/declaration.hpp>
+#include <yaml/yaml_reader.hpp>
 
 #include "declaration/document_text.hpp"
 
@@ -189,6 +190,19 @@
     cr_expect_eq(errors_of(parse_organisation, text).size(), 3);
 }
 
+// Symptom: the log holds lines that no VM wrote.
+// Sequence: a name in a refused document has a line feed in it.
+// Cause: the error's subject is logged as it stands.
+Test(organisation, subjects_fit_into_a_log_line)
+{
+    std::string const name = "\"a\\nb" + std::string(100, 'c') + "\"";
+    auto const errors = errors_of(
+        parse_organisation,
+        replace_part(good_organisation, "association", name));
+    cr_assert_eq(errors.size(), 1);
+    cr_expect_eq(errors[0].subject, "a?b" + std::string(77, 'c'));
+}
+
 // Symptom: every VM runs out of memory or stack when a document arrives.
 // Sequence: a short text with nested anchors or brackets is published.
 // Cause: its tree is built before anything looks at its size.
@@ -197,6 +211,9 @@
     std::string bomb = "a: &a [x, x]\nb: &b [*a, *a]\nc: [*b, *b]\n";
     std::string const large(maximum_document_bytes + 1, '#');
     std::string const full(maximum_document_bytes, '#');
+    std::string many = "[";
+    for (std::size_t index = 0; index < maximum_document_values; ++index)
+        many += "a,";
     std::string const deepest = std::string(maximum_document_depth, '[') +
                                 std::string(maximum_document_depth, ']');
     struct
@@ -207,6 +224,8 @@
         {bomb, kind::alias_not_allowed},
         {large, kind::too_large},
         {full, kind::wrong_type},
+        {many + "a]", kind::too_large},
+        {replace_part(many, "a,", "") + "]", kind::wrong_type},
         {"[" + deepest + "]", kind::too_deep},
         {deepest, kind::wrong_type},
         {std::string(500'000, '['), kind::too_deep},
@@ -235,6 +254,14 @@
     cr_expect(has_error(errors, kind::too_large, 4, 3));
 }
 
+Test(organisation, reports_a_bounded_number_of_errors)
+{
+    std::string text = good_organisation;
+    for (std::size_t index = 0; index <= maximum_errors; ++index)
+        text += "unknown: 1\n";
+    cr_expect_eq(errors_of(parse_organisation, text).size(), maximum_errors);
+}
+
 Test(allotment, reads_ranges)
 {
     auto const read = parse_allotment(good_allotment);
