--- a/libraries/versions/peer_selection.cpp
+++ b/libraries/versions/peer_selection.cpp
@@ -50,7 +50,7 @@
     {
         return reached.insert(peer.domain).second;
     };
-    std::ranges::stable_partition(shuffled, is_first_of_domain);
+    std::stable_partition(shuffled.begin(), shuffled.end(), is_first_of_domain);
 
     std::vector<vm_id> targets;
     for (auto const& peer : shuffled)
--- a/tests/versions/test_pieces.cpp
+++ b/tests/versions/test_pieces.cpp
@@ -41,6 +41,7 @@
 Test(pieces, listings_are_split_and_ask_once)
 {
     std::vector<document_stamp> stamps;
+    stamps.reserve(100);
     for (auto number = 0; number < 100; ++number)
         stamps.push_back(
             {"organisations/n" + std::to_string(number), document_version(1)});
