Reducer: Predict only where holders are surely dead, and join before counting cold

Cause: measure broken showed two faults. (1) After two kills at once prediction saved none of 787 flows, as it agreed with placement for 1,479 of 20,000 only: upstreams learned while catching up counted as cold, so that continuity placed by load. (2) In a partition, prediction on the cut side reset 4,042 living flows whose pins stood on the far side. Ruled out: a fault in rendezvous ranking (same code gives 19,878 of 20,000 once upstreams are warm); dropping prediction altogether (787 broken instead of 7). Change: placement gets the declarations when the VM has joined; where a whole failure domain of earlier holders is out of reach, a flow is predicted only after several unknown repetitions. A gate for all unknown flows gave 201 at the double kill and was rejected.

--- a/libraries/reducer/flow_router.cpp
+++ b/libraries/reducer/flow_router.cpp
@@ -366,6 +366,9 @@
     // prediction puts them take that risk, for the sake of those that do.
     if (target->prefer != placement_preference::continuity)
         return this->drop(drop_reason::unknown_flow);
+    if (this->may_holder_be_cut_off() &&
+        !this->context.predictions.may_predict(this->now, this->packet.flow))
+        return this->drop(drop_reason::unknown_flow);
     std::optional<upstream_id> const predicted =
         this->context.placer.predict(*target, this->packet.flow);
     if (!predicted)
@@ -379,6 +382,24 @@
     this->forward_with_copy(*made);
 }
 
+bool flow_router::may_holder_be_cut_off() const
+{
+    // Holders that died leave others of their failure domain within reach.
+    // Where a whole domain is out of reach, they may live and have the pin,
+    // and the caller's next repetition may reach them.
+    membership const& members = this->context.members;
+    for (vm_id const vm : this->context.ownership.earlier_holders_of(
+             this->now, this->packet.flow))
+    {
+        member const* const known = members.find(vm);
+        if (known == nullptr || members.is_reachable(vm))
+            continue;
+        if (!members.is_domain_reachable(known->domain))
+            return true;
+    }
+    return false;
+}
+
 void flow_router::refuse(
     service const& service, refusal_reason reason, time_point retry_at)
 {
--- a/libraries/reducer/flow_router.hpp
+++ b/libraries/reducer/flow_router.hpp
@@ -56,6 +56,7 @@
     void place_opening();
     void place_admitted(service const& service);
     void send_by_prediction();
+    [[nodiscard]] bool may_holder_be_cut_off() const;
     void refuse(service const& service, refusal_reason reason, time_point at);
 
     void forward_pinned(pin& held);
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -153,6 +153,7 @@
         return;
     this->members.tick(now, this->versions.digest(), out);
     this->placer.tick(now, this->domain_vms, this->peer_vms, out);
+    this->predictions.forget_old(now);
     this->handing_over.tick(now, this->context(), out);
 }
 
@@ -284,10 +285,9 @@
 
 routing_context reducer::context()
 {
-    return {this->settings.self, this->members,
-            this->ownership,     this->pin_store,
-            this->placer,        this->admitter,
-            *this->declarations, this->current_permission};
+    return {this->settings.self, this->members,       this->ownership,
+            this->pin_store,     this->placer,        this->admitter,
+            this->predictions,   *this->declarations, this->current_permission};
 }
 
 placing_permission reducer::permission(time_point now) const
@@ -317,8 +317,8 @@
 
 void reducer::refresh(time_point now, effect_list& out)
 {
-    this->apply_document_changes(now);
     this->join_when_caught_up(now, out);
+    this->apply_document_changes(now);
     this->apply_membership_changes(now);
     this->update_permission(now, out);
 }
@@ -387,6 +387,11 @@
 
 void reducer::apply_document_changes(time_point now)
 {
+    // Placement takes upstreams that it did not know before for cold. What a
+    // joiner learns while it catches up was there before it: taking those for
+    // cold made `prefer: continuity` place by load alone for half a minute.
+    if (!this->has_joined)
+        return;
     if (this->applied_documents == this->versions.generation())
         return;
     this->applied_documents = this->versions.generation();
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -114,6 +114,7 @@
     version_store versions;
     placement placer;
     admission admitter;
+    prediction_gate predictions;
     handover handing_over;
     std::shared_ptr<directory const> declarations;
 
--- a/libraries/reducer/routing_context.hpp
+++ b/libraries/reducer/routing_context.hpp
@@ -8,6 +8,7 @@
 #include <ownership/ownership_table.hpp>
 #include <pins/pin_table.hpp>
 #include <placement/placement.hpp>
+#include <reducer/prediction_gate.hpp>
 
 namespace cairnhead
 {
@@ -32,6 +33,7 @@
     pin_table& pins;
     placement& placer;
     admission& admitter;
+    prediction_gate& predictions;
     directory const& declarations;
     placing_permission permission = placing_permission::joining;
 
