Placement: Choose the policy's numbers by measurement

Cause: the first version's numbers were guesses.

Ranks keep the reciprocal of the slots, and one pass serves both the ranks and the prediction.

--- a/libraries/placement/candidate_set.hpp
+++ b/libraries/placement/candidate_set.hpp
@@ -3,7 +3,9 @@
 #include <placement/prediction_history.hpp>
 #include <placement/rendezvous.hpp>
 
+#include <absl/container/inlined_vector.h>
 #include <cstdint>
+#include <span>
 #include <vector>
 
 namespace cairnhead
@@ -40,4 +42,13 @@
     bool is_full = false;
 };
 
+/// A few candidates, the flow's first choice first.
+using candidate_shortlist = absl::InlinedVector<candidate const*, 8>;
+
+/// The flow's first choices, at most `count`. Precondition: `candidates`
+/// outlives the result and `count` is above zero.
+/// Thread safety: any number of concurrent callers.
+[[nodiscard]] candidate_shortlist
+first_choices(std::span<candidate const> candidates, std::size_t count);
+
 } // namespace cairnhead
--- a/libraries/placement/placement.cpp
+++ b/libraries/placement/placement.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace cairnhead
 {
@@ -96,10 +97,10 @@
         return this->refuse(now, nullptr, flow);
     }
     auto const& state = this->services[found->second];
-    this->collect(now, state, flow, asked::healthy);
+    auto const preferred = this->collect(now, state, flow, asked::healthy);
     if (this->candidates.empty())
     {
-        this->collect(now, state, flow, asked::reachable);
+        std::ignore = this->collect(now, state, flow, asked::reachable);
     }
     auto const is_full = [](candidate const& one)
     {
@@ -113,7 +114,8 @@
     auto const chosen = this->pick(service).id;
     return placed{
         .upstream = chosen,
-        .is_predicted = state.history.is_predicted(flow, chosen)};
+        .is_predicted = chosen == preferred &&
+                        state.history.do_older_sets_give(flow, chosen)};
 }
 
 std::optional<upstream_id>
@@ -372,7 +374,7 @@
         {
             continue;
         }
-        weighted_upstream const key{.id = id, .slots = one->slots};
+        weighted_upstream const key(id, one->slots);
         set.push_back(key);
         result.members.push_back(
             {.state_index = this->state_by_id.at(id),
@@ -453,12 +455,20 @@
     }
 }
 
-void placement::collect(
+std::optional<upstream_id> placement::collect(
     time_point now, service_state const& service, flow_id flow, asked whom)
 {
+    std::optional<upstream_id> preferred;
+    auto lowest = std::numeric_limits<std::uint64_t>::max();
     this->candidates.clear();
     for (auto const& member : service.members)
     {
+        auto const rank = rendezvous_rank(flow, member.key);
+        if (!preferred || rank < lowest)
+        {
+            preferred = member.key.id;
+            lowest = rank;
+        }
         auto const& state = this->states[member.state_index];
         if (!this->may_take(now, state, whom))
         {
@@ -466,12 +476,13 @@
         }
         this->candidates.push_back(
             {.id = state.id,
-             .rank = rendezvous_rank(flow, member.key),
+             .rank = rank,
              .slots = state.slots,
              .flows = state.flows,
              .load = (state.flows + 1) * member.inverse_weight,
              .is_full = state.is_full()});
     }
+    return preferred;
 }
 
 bool placement::may_take(
@@ -484,7 +495,7 @@
     return whom == asked::reachable || !state.health.is_ejected(now);
 }
 
-candidate const& placement::pick(service const& service)
+candidate const& placement::pick(service const& service) const
 {
     switch (service.prefer)
     {
@@ -496,20 +507,20 @@
     return this->pick_balanced();
 }
 
-candidate const& placement::pick_balanced()
+candidate const& placement::pick_balanced() const
 {
-    auto const count = std::min<std::size_t>(
-        this->policy.balance_candidates, this->candidates.size());
-    auto const end =
-        this->candidates.begin() + static_cast<std::ptrdiff_t>(count);
-    std::ranges::partial_sort(this->candidates, end, {}, &candidate::rank);
-    auto const& first = this->candidates.front();
+    auto const shortlist =
+        first_choices(this->candidates, this->policy.balance_candidates);
+    auto const& first = *shortlist.front();
     // Of equal loads the flow's own preference wins. Owners that all saw the
     // same upstream as the least loaded would otherwise all choose it at once.
-    auto const least = std::ranges::min_element(
-        std::span(this->candidates.begin(), end), {}, &candidate::load);
-    auto const tolerated = least->load * (1.0 + this->policy.balance_lean);
-    return first.load <= tolerated ? first : *least;
+    auto const load_of = [](candidate const* one)
+    {
+        return one->load;
+    };
+    auto const& least = **std::ranges::min_element(shortlist, {}, load_of);
+    auto const tolerated = least.load * (1.0 + this->policy.balance_lean);
+    return first.load <= tolerated ? first : least;
 }
 
 candidate const& placement::pick_predicted() const
--- a/libraries/placement/placement.hpp
+++ b/libraries/placement/placement.hpp
@@ -162,12 +162,13 @@
     read_signals(time_point now, upstream_state const& state) const;
     void refresh_limits();
 
-    void collect(
+    /// Fills `candidates`; returns the first choice among all members.
+    [[nodiscard]] std::optional<upstream_id> collect(
         time_point now, service_state const& service, flow_id flow, asked whom);
     [[nodiscard]] bool
     may_take(time_point now, upstream_state const& state, asked whom) const;
-    [[nodiscard]] candidate const& pick(service const& service);
-    [[nodiscard]] candidate const& pick_balanced();
+    [[nodiscard]] candidate const& pick(service const& service) const;
+    [[nodiscard]] candidate const& pick_balanced() const;
     [[nodiscard]] candidate const& pick_predicted() const;
     [[nodiscard]] not_placed
     refuse(time_point now, service_state const* service, flow_id flow) const;
--- a/libraries/placement/placement_policy.hpp
+++ b/libraries/placement/placement_policy.hpp
@@ -16,14 +16,17 @@
     std::uint32_t balance_candidates = 4;
     /// `prefer: balance` keeps the predicted upstream while its load exceeds
     /// the least by no more than this share.
-    double balance_lean = 0.0;
+    double balance_lean = 0.1;
     /// `prefer: continuity` leaves an upstream whose load per slot is this
     /// many times the service's mean.
-    double continuity_excess = 1.5;
+    double continuity_excess = 1.25;
     /// The least share that a report of high load can leave an upstream.
     double minimum_report_share = 0.8;
     /// The least share that slow answers can leave an upstream.
-    double minimum_latency_share = 0.5;
+    double minimum_latency_share = 0.75;
+    /// Answers within this many times the service's median latency contradict
+    /// a report of overload; zero lets nothing contradict it.
+    double contradicting_latency_ratio = 1.25;
 };
 
 } // namespace cairnhead
--- a/libraries/placement/prediction_history.hpp
+++ b/libraries/placement/prediction_history.hpp
@@ -26,8 +26,10 @@
     /// What all retained sets give. No precondition.
     [[nodiscard]] std::optional<upstream_id> predict(flow_id flow) const;
 
-    /// Whether all retained sets give this upstream. No precondition.
-    [[nodiscard]] bool is_predicted(flow_id flow, upstream_id upstream) const;
+    /// Whether all retained sets but the newest give this upstream; for those
+    /// who know already what the newest gives. No precondition.
+    [[nodiscard]] bool
+    do_older_sets_give(flow_id flow, upstream_id upstream) const;
 
 private:
     std::vector<std::vector<weighted_upstream>> sets;
--- a/libraries/placement/rendezvous.cpp
+++ b/libraries/placement/rendezvous.cpp
@@ -76,12 +76,17 @@
 
 } // namespace
 
+weighted_upstream::weighted_upstream(upstream_id upstream, std::uint32_t slots)
+    : id(upstream),
+      inverse_slots(std::max(
+          weight_scale / std::max(slots, std::uint32_t{1}), std::uint64_t{1}))
+{
+}
+
 std::uint64_t rendezvous_rank(flow_id flow, weighted_upstream const& candidate)
 {
     auto const hash = hash_pair(flow.value(), candidate.id.value());
-    auto const slots = std::max(candidate.slots, std::uint32_t{1});
-    auto const reciprocal = std::max(weight_scale / slots, std::uint64_t{1});
-    return negative_logarithm(hash) * reciprocal;
+    return negative_logarithm(hash) * candidate.inverse_slots;
 }
 
 std::optional<upstream_id>
--- a/libraries/placement/rendezvous.hpp
+++ b/libraries/placement/rendezvous.hpp
@@ -15,15 +15,20 @@
 /// An upstream and its weight.
 struct weighted_upstream
 {
+    /// Zero slots count as one. No precondition.
+    weighted_upstream(upstream_id upstream, std::uint32_t slots);
+
     upstream_id id;
-    std::uint32_t slots = 1;
+    /// One divided by the slots, as a fixed-point number; kept because a
+    /// division costs as much as the hash itself.
+    std::uint64_t inverse_slots;
 
     bool operator==(weighted_upstream const&) const = default;
 };
 
 /// The upstream's place in the flow's order of preference: the lowest rank is
 /// its first choice. An upstream is first for a share of flows in proportion
-/// to its slots; zero slots count as one.
+/// to its slots.
 /// No precondition. Thread safety: any number of concurrent callers.
 [[nodiscard]] std::uint64_t
 rendezvous_rank(flow_id flow, weighted_upstream const& candidate);
--- a/libraries/placement/share_estimate.cpp
+++ b/libraries/placement/share_estimate.cpp
@@ -13,8 +13,6 @@
 /// Answers that are later by less than this are ordinary, whatever the ratio:
 /// the callers' own distance varies by as much.
 constexpr double ordinary_latency_seconds = 0.002;
-/// Answers within this many times the median contradict a report of overload.
-constexpr double contradicting_latency_ratio = 1.25;
 /// Reported load above the median by less than this is ordinary.
 constexpr double ordinary_load_permille = 150.0;
 /// Share lost for each permille of load beyond that.
@@ -59,11 +57,13 @@
 }
 
 bool is_contradicted(
-    upstream_signals const& signals, service_medians const& medians)
+    upstream_signals const& signals,
+    service_medians const& medians,
+    placement_policy const& policy)
 {
     return signals.latency_seconds && medians.latency_seconds &&
            *signals.latency_seconds <=
-               *medians.latency_seconds * contradicting_latency_ratio;
+               *medians.latency_seconds * policy.contradicting_latency_ratio;
 }
 
 double report_share(
@@ -79,7 +79,7 @@
                         ordinary_load_permille;
     // A report can cost an upstream work but never attract any: one that
     // reports no load while it drowns would otherwise be given more.
-    if (excess <= 0.0 || is_contradicted(signals, medians))
+    if (excess <= 0.0 || is_contradicted(signals, medians, policy))
     {
         return 1.0;
     }
