Reducer: Let joiners know who held flows before them, and not guess alone

The trace of that flow: a joiner with declarations but without members took itself for the owner of all and sent a mid-flow packet by prediction. Ruled out: losing pins by expiry (pins stood on the former holder), hop limit (visited was 1). Change: no prediction while joining or after a pause; a joiner owns nothing before a peer told it the members, and then ranks the recent members in the order of their lives, which gives it the earlier holders.

--- a/libraries/reducer/flow_router.cpp
+++ b/libraries/reducer/flow_router.cpp
@@ -30,10 +30,10 @@
 
 void flow_router::route()
 {
+    pin* const held = this->context.pins.find(this->packet.flow);
     if (this->context.ownership.is_empty())
-        return this->drop(drop_reason::not_ready);
+        return this->route_without_owners(held);
     this->holders = this->context.ownership.holders_of(this->packet.flow);
-    pin* const held = this->context.pins.find(this->packet.flow);
     if (!this->packet.frame)
         return this->route_from_ingress(held);
     if (this->packet.frame->visited.size() >= maximum_visited_vms)
@@ -41,6 +41,16 @@
     this->route_by_role(this->packet.frame->role, held);
 }
 
+void flow_router::route_without_owners(pin* held)
+{
+    if (held == nullptr)
+        return this->drop(drop_reason::not_ready);
+    // The last VM is leaving: it owns nothing any more, and goes on serving
+    // what it has.
+    this->context.pins.touch(this->now, *held);
+    this->send_upstream(held->upstream);
+}
+
 void flow_router::route_by_role(frame_role role, pin* held)
 {
     switch (role)
@@ -306,14 +316,24 @@
     this->send_peer(this->holders.owner, frame_role::exhausted);
 }
 
-void flow_router::place_opening()
+bool flow_router::may_decide()
 {
+    // A joiner knows itself alone at first, so it takes itself for the owner
+    // of every flow: it would place what others own, and by prediction reset
+    // flows that they know.
     if (this->context.permission == placing_permission::joining)
-        return this->drop(drop_reason::not_ready);
+        this->drop(drop_reason::not_ready);
     // A VM that slept may have missed that an upstream left, or that another
     // VM owns the flow now: it would place work where none may go any more.
     if (this->context.permission == placing_permission::view_expired)
-        return this->drop(drop_reason::view_expired);
+        this->drop(drop_reason::view_expired);
+    return this->context.permission == placing_permission::allowed;
+}
+
+void flow_router::place_opening()
+{
+    if (!this->may_decide())
+        return;
     service const* const target =
         this->context.declarations.find_service(this->packet.destination);
     if (target == nullptr)
@@ -357,6 +377,8 @@
 
 void flow_router::send_by_prediction()
 {
+    if (!this->may_decide())
+        return;
     service const* const target =
         this->context.declarations.find_service(this->packet.destination);
     if (target == nullptr)
--- a/libraries/reducer/flow_router.hpp
+++ b/libraries/reducer/flow_router.hpp
@@ -31,6 +31,7 @@
     void route();
 
 private:
+    void route_without_owners(pin* held);
     void route_by_role(frame_role role, pin* held);
     void route_from_ingress(pin* held);
     void route_as_owner(pin* held);
@@ -53,6 +54,8 @@
 
     void seek_pin();
     void give_back_to_owner();
+    /// Drops the packet when it answers no.
+    [[nodiscard]] bool may_decide();
     void place_opening();
     void place_admitted(service const& service);
     void send_by_prediction();
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -338,6 +338,9 @@
 {
     if (!this->has_joined)
         return;
+    // Before a peer has told who is there, this VM would own every flow.
+    if (this->ownership.is_empty() && !this->members.is_view_fresh(now))
+        return;
     if (this->applied_membership == this->members.generation())
         return;
     this->applied_membership = this->members.generation();
@@ -358,6 +361,8 @@
     }
     this->versions.set_peers(now, peers);
     std::vector<ownership_candidate> const candidates = this->owners();
+    if (this->ownership.is_empty())
+        this->rebuild_ownership_history(now, candidates);
     this->ownership.set_candidates(now, candidates);
     auto const count =
         static_cast<std::uint32_t>(std::max<std::size_t>(1, candidates.size()));
@@ -370,6 +375,34 @@
         });
 }
 
+void reducer::rebuild_ownership_history(
+    time_point now, std::span<ownership_candidate const> candidates)
+{
+    // Where two VMs that joined lately hold a flow, neither has seen who held
+    // it before them, and its pin would never be found. The lives tell the
+    // order in which the VMs joined, and so who held each slot before.
+    auto const retention =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            this->settings.ownership.history_retention);
+    std::uint64_t const own_life = life_of(this->first_life);
+    std::uint64_t const oldest =
+        own_life - std::min<std::uint64_t>(
+                       own_life, static_cast<std::uint64_t>(retention.count()));
+    std::vector<ownership_candidate> recent;
+    std::vector<ownership_candidate> present;
+    for (ownership_candidate const& vm : candidates)
+        (vm.life >= oldest ? recent : present).push_back(vm);
+    std::ranges::sort(recent, {}, &ownership_candidate::life);
+    this->ownership.set_candidates(now, present);
+    for (ownership_candidate const& vm : recent)
+    {
+        auto const place = std::ranges::lower_bound(
+            present, vm.id, {}, &ownership_candidate::id);
+        present.insert(place, vm);
+        this->ownership.set_candidates(now, present);
+    }
+}
+
 std::vector<ownership_candidate> reducer::owners() const
 {
     std::vector<ownership_candidate> candidates;
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -14,6 +14,7 @@
 #include <versions/version_store.hpp>
 
 #include <memory>
+#include <span>
 #include <vector>
 
 namespace cairnhead
@@ -103,6 +104,8 @@
     void refresh(time_point now, effect_list& out);
     void join_when_caught_up(time_point now, effect_list& out);
     void apply_membership_changes(time_point now);
+    void rebuild_ownership_history(
+        time_point now, std::span<ownership_candidate const> candidates);
     void apply_document_changes(time_point now);
     void update_permission(time_point now, effect_list& out);
     [[nodiscard]] std::vector<ownership_candidate> owners() const;
--- a/tests/reducer/reducer_failures_test.cpp
+++ b/tests/reducer/reducer_failures_test.cpp
@@ -272,6 +272,31 @@
     assert_whole(vms);
 }
 
+Test(reducer, joins_without_guessing_about_flows_of_others)
+{
+    // Symptom: one feed in twenty thousand breaks when a VM joins.
+    // Sequence: the joiner has the declarations, but not yet the members; the
+    // fabric hands it a packet of a flow that is not at its predicted upstream.
+    // Cause: knowing itself alone, it took itself for the owner, found no pin
+    // and sent by prediction.
+    fleet vms = make_fleet("continuity");
+    vms.start();
+    open_flows(vms);
+    // Makes the prediction of most flows wrong.
+    sample_declarations changed = sample("continuity");
+    changed.upstreams = 60;
+    vms.publish("organisations/association", changed.organisation_text());
+    vms.run_for(5s);
+    for (std::uint32_t number = 20; number < 30; ++number)
+    {
+        vms.add({vm(number), domain(number % 2)});
+        vms.let_all_send(500ms);
+        vms.run_for(2s);
+    }
+    let_flows_talk(vms, 20s);
+    assert_whole(vms);
+}
+
 Test(reducer, serves_both_halves_of_a_split_fleet)
 {
     // Symptom: during a cut between failure domains nothing new is served,
