Reducer, Placement: Eject by distinct callers; use cut-off domains last

Cause: read after measuring: each repetition of one opening counted as a failure of the upstream, and a domain without reachable entry VMs had its upstreams refused even when a service had no others. Ruled out: more failures before ejection (a quiet service would never eject). Change: only the first repetition of each opening counts; placement asks upstreams of unreachable domains when nothing else is left.

--- a/libraries/pins/pin_table.hpp
+++ b/libraries/pins/pin_table.hpp
@@ -36,6 +36,8 @@
     bool is_counted = false;
     /// Whether the opening carried data, so that it may have run.
     bool may_have_run = false;
+    /// Whether the caller repeated the opening already.
+    bool is_repeated = false;
 };
 
 /// All pins of one VM, at most `maximum_pins`. A full table refuses new pins;
--- a/libraries/placement/placement.cpp
+++ b/libraries/placement/placement.cpp
@@ -102,6 +102,13 @@
     {
         std::ignore = this->collect(now, state, flow, asked::reachable);
     }
+    if (this->candidates.empty())
+    {
+        // That a domain's entry VMs are out of reach does not prove that its
+        // upstreams are: all its entry VMs may have failed at once. A service
+        // that lives only there would be refused although it could be served.
+        std::ignore = this->collect(now, state, flow, asked::any);
+    }
     auto const is_full = [](candidate const& one)
     {
         return one.is_full;
@@ -488,11 +495,20 @@
 bool placement::may_take(
     time_point now, upstream_state const& state, asked whom) const
 {
-    if (!state.is_reachable || state.is_draining())
+    if (state.is_draining())
     {
         return false;
     }
-    return whom == asked::reachable || !state.health.is_ejected(now);
+    switch (whom)
+    {
+    case asked::healthy:
+        return state.is_reachable && !state.health.is_ejected(now);
+    case asked::reachable:
+        return state.is_reachable;
+    case asked::any:
+        return true;
+    }
+    return true;
 }
 
 candidate const& placement::pick(service const& service) const
--- a/libraries/placement/placement.hpp
+++ b/libraries/placement/placement.hpp
@@ -144,6 +144,8 @@
         healthy,
         /// All that are reachable and do not leave, ejected or not.
         reachable,
+        /// All that do not leave.
+        any,
     };
 
     [[nodiscard]] upstream_state* find_state(upstream_id upstream);
--- a/libraries/reducer/flow_router.cpp
+++ b/libraries/reducer/flow_router.cpp
@@ -492,8 +492,12 @@
 
 bool flow_router::repeat_opening(pin& held)
 {
-    this->context.placer.opening_repeated(
-        this->now, held.upstream, this->effects);
+    // One caller that never hears its answer repeats many times. Counted each
+    // time, it alone could eject a healthy upstream of a quiet service.
+    if (!held.is_repeated)
+        this->context.placer.opening_repeated(
+            this->now, held.upstream, this->effects);
+    held.is_repeated = true;
     service const* const target =
         this->context.declarations.find_service(held.service);
     if (target == nullptr)
@@ -516,6 +520,7 @@
         return;
     this->context.uncount_flow(this->now, held);
     held.upstream = chosen->upstream;
+    held.is_repeated = false;
     // The backup still has the old upstream until this packet reaches it.
     held.refresh_at = this->now;
     this->context.count_flow(this->now, held);
--- a/tests/placement/test_health.cpp
+++ b/tests/placement/test_health.cpp
@@ -116,3 +116,18 @@
         });
     cr_assert(std::holds_alternative<placed>(one.choose(start, 1)));
 }
+
+Test(health, upstreams_of_an_unreachable_domain_are_the_last_resort)
+{
+    // Symptom: a service is refused although all its upstreams run.
+    // Sequence: its upstreams stand in one domain, whose entry VMs all fail.
+    // Cause: a domain without reachable entry VMs is taken for cut off.
+    bench one(make_directory(make_upstreams(4)));
+    one.subject.set_fleet(
+        1,
+        [](failure_domain_id)
+        {
+            return false;
+        });
+    cr_assert(std::holds_alternative<placed>(one.choose(start, 1)));
+}
--- a/tests/reducer/reducer_failures_test.cpp
+++ b/tests/reducer/reducer_failures_test.cpp
@@ -383,6 +383,20 @@
     cr_assert_eq(vms.run_twice(), 0U);
 }
 
+Test(reducer, does_not_eject_an_upstream_for_one_deaf_caller)
+{
+    // Symptom: a healthy upstream gets no work for minutes.
+    // Sequence: one caller's path back is cut, so it repeats its opening
+    // again and again; no other flow opens meanwhile.
+    // Cause: each repetition counted as a failure of the upstream.
+    fleet vms = make_fleet();
+    vms.start();
+    vms.set_answers_lost(true);
+    vms.open(sample().address());
+    vms.run_for(15s);
+    cr_assert_eq(vms.reports(report_kind::upstream_ejected), 0U);
+}
+
 Test(reducer, keeps_an_organisation_at_its_last_good_version)
 {
     // Symptom: one organisation's typing error stops the others' services.
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -198,6 +198,11 @@
     this->dead_upstreams.insert(upstream);
 }
 
+void fleet::set_answers_lost(bool are_lost)
+{
+    this->are_answers_lost = are_lost;
+}
+
 std::size_t fleet::open(endpoint const& destination)
 {
     caller_flow opened;
@@ -621,6 +626,8 @@
     if (packet.phase == packet_phase::opening)
     {
         this->openings_seen[packet.flow].insert(upstream);
+        if (this->are_answers_lost)
+            return;
         this->schedule(
             this->time.now() + this->settings.delay,
             [this, flow = packet.flow, upstream]
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -95,6 +95,8 @@
     /// The platform answers with what it had at this moment, until reset.
     void set_platform_stale(bool is_stale);
     void kill_upstream(upstream_id upstream);
+    /// Whether upstreams' answers to openings reach nobody.
+    void set_answers_lost(bool are_lost);
 
     /// Opens a flow; the answer is its index.
     std::size_t open(endpoint const& destination);
@@ -180,6 +182,7 @@
     std::vector<caller_flow> flows;
     std::vector<wire_packet> packets;
     std::set<upstream_id> dead_upstreams;
+    bool are_answers_lost = false;
     std::map<std::size_t, std::set<upstream_id>> openings_seen;
     std::map<std::size_t, std::set<upstream_id>> data_seen;
     std::map<report_kind, std::size_t> report_counts;
