Control: Answer operators and fetch documents over Cap'n Proto RPC

Cause: the command line asks a running daemon, and VMs take documents from each other, so that few of them read the platform.

Ruled out: the library's TwoPartyServer and EzRpcServer. They bound neither connections nor, in the first, messages below 64 MiB.

Not run: the tests under the thread sanitizer, where Criterion cannot set up its arena.

--- /dev/null
+++ b/libraries/control/answer_codec.cpp
@@ -0,0 +1,243 @@
+#include <control/answer_codec.hpp>
+
+namespace cairnhead::control_codec
+{
+
+namespace
+{
+
+kj::StringPtr text_of(std::string const& text)
+{
+    return {text.c_str(), text.size()};
+}
+
+std::string read_text(capnp::Text::Reader text)
+{
+    return {text.begin(), text.size()};
+}
+
+template <typename Enumeration, typename Raw>
+Enumeration checked(Raw raw, Enumeration last)
+{
+    auto const value = static_cast<std::uint16_t>(raw);
+    if (value > static_cast<std::uint16_t>(last))
+        throw malformed_answer();
+    return static_cast<Enumeration>(value);
+}
+
+/// Zero stands for an absent address.
+template <typename Id>
+std::uint32_t number_of(std::optional<Id> const& id)
+{
+    return id ? id->value() : 0;
+}
+
+template <typename Id>
+std::optional<Id> read_id(std::uint32_t number)
+{
+    if (number == 0)
+        return std::nullopt;
+    return Id(number);
+}
+
+transport_protocol read_protocol(std::uint8_t number)
+{
+    auto const protocol = static_cast<transport_protocol>(number);
+    if (protocol != transport_protocol::tcp &&
+        protocol != transport_protocol::udp)
+        throw malformed_answer();
+    return protocol;
+}
+
+void write(
+    document_stamp const& from, control_schema::DocumentStamp::Builder to)
+{
+    to.setName(text_of(from.name));
+    to.setVersion(from.version.value());
+}
+
+document_stamp read(control_schema::DocumentStamp::Reader from)
+{
+    return {
+        .name = read_text(from.getName()),
+        .version = document_version(from.getVersion())};
+}
+
+void write(packet_totals const& from, control_schema::PacketTotals::Builder to)
+{
+    to.setToUpstream(from.to_upstream);
+    to.setToPeer(from.to_peer);
+    to.setDropped(from.dropped);
+    to.setRefused(from.refused);
+}
+
+packet_totals read(control_schema::PacketTotals::Reader from)
+{
+    return {
+        .to_upstream = from.getToUpstream(),
+        .to_peer = from.getToPeer(),
+        .dropped = from.getDropped(),
+        .refused = from.getRefused()};
+}
+
+void write_documents(
+    std::vector<document_stamp> const& from, control_schema::Status::Builder to)
+{
+    auto list = to.initDocuments(static_cast<unsigned>(from.size()));
+    unsigned index = 0;
+    for (auto const& document : from)
+        write(document, list[index++]);
+}
+
+std::vector<document_stamp> read_documents(control_schema::Status::Reader from)
+{
+    std::vector<document_stamp> documents;
+    for (auto const document : from.getDocuments())
+        documents.push_back(read(document));
+    return documents;
+}
+
+} // namespace
+
+char const* malformed_answer::what() const noexcept
+{
+    return "the answer holds a value that this release does not know";
+}
+
+void write(endpoint const& from, control_schema::Endpoint::Builder to)
+{
+    to.setAddress(from.address.value());
+    to.setPort(from.port);
+    to.setProtocol(static_cast<std::uint8_t>(from.protocol));
+}
+
+endpoint read(control_schema::Endpoint::Reader from)
+{
+    return {
+        .address = ipv4_address(from.getAddress()),
+        .port = from.getPort(),
+        .protocol = read_protocol(from.getProtocol())};
+}
+
+void write(status_answer const& from, control_schema::Status::Builder to)
+{
+    to.setVm(from.vm.value());
+    to.setFailureDomain(text_of(from.failure_domain));
+    to.setState(static_cast<control_schema::VmState>(from.state));
+    to.setUptimeSeconds(from.uptime_seconds);
+    to.setPins(from.pins);
+    to.setMembersAlive(from.members_alive);
+    to.setMembersSuspect(from.members_suspect);
+    to.setMembersDead(from.members_dead);
+    write_documents(from.documents, to);
+    to.setDocumentsGeneration(from.documents_generation);
+    to.setIsReader(from.is_reader);
+    write(from.packets, to.initPackets());
+}
+
+status_answer read(control_schema::Status::Reader from)
+{
+    return {
+        .vm = vm_id(from.getVm()),
+        .failure_domain = read_text(from.getFailureDomain()),
+        .state = checked(from.getState(), vm_state::view_expired),
+        .uptime_seconds = from.getUptimeSeconds(),
+        .pins = from.getPins(),
+        .members_alive = from.getMembersAlive(),
+        .members_suspect = from.getMembersSuspect(),
+        .members_dead = from.getMembersDead(),
+        .documents = read_documents(from),
+        .documents_generation = from.getDocumentsGeneration(),
+        .is_reader = from.getIsReader(),
+        .packets = read(from.getPackets())};
+}
+
+void write(member_answer const& from, control_schema::Member::Builder to)
+{
+    to.setVm(from.vm.value());
+    to.setFailureDomain(text_of(from.failure_domain));
+    to.setIncarnation(from.life.value());
+    to.setStatus(static_cast<control_schema::MemberStatus>(from.status));
+}
+
+member_answer read(control_schema::Member::Reader from)
+{
+    return {
+        .vm = vm_id(from.getVm()),
+        .failure_domain = read_text(from.getFailureDomain()),
+        .life = incarnation(from.getIncarnation()),
+        .status = checked(from.getStatus(), member_status::dead)};
+}
+
+void write(service_answer const& from, control_schema::Service::Builder to)
+{
+    to.setName(text_of(from.name));
+    write(from.address, to.initAddress());
+    to.setTraffic(static_cast<control_schema::FlowClass>(from.traffic));
+    to.setPrefer(static_cast<control_schema::Preference>(from.prefer));
+    to.setRefusal(static_cast<control_schema::Refusal>(from.refusal));
+    to.setIsIdempotent(from.is_idempotent);
+    to.setUpstreams(from.upstreams);
+}
+
+service_answer read(control_schema::Service::Reader from)
+{
+    return {
+        .name = read_text(from.getName()),
+        .address = read(from.getAddress()),
+        .traffic = checked(from.getTraffic(), flow_class::media),
+        .prefer = checked(from.getPrefer(), placement_preference::balance),
+        .refusal = checked(from.getRefusal(), refusal_style::http_503),
+        .is_idempotent = from.getIsIdempotent(),
+        .upstreams = from.getUpstreams()};
+}
+
+void write(upstream_answer const& from, control_schema::Upstream::Builder to)
+{
+    to.setId(from.id.value());
+    to.setName(text_of(from.name));
+    to.setFailureDomain(text_of(from.failure_domain));
+    to.setFlows(from.flows);
+    to.setCondition(static_cast<control_schema::Condition>(from.condition));
+    to.setReportedLoadPermille(from.reported_load_permille);
+    to.setIsEjected(from.is_ejected);
+    to.setIsCold(from.is_cold);
+}
+
+upstream_answer read(control_schema::Upstream::Reader from)
+{
+    return {
+        .id = upstream_id(from.getId()),
+        .name = read_text(from.getName()),
+        .failure_domain = read_text(from.getFailureDomain()),
+        .flows = from.getFlows(),
+        .condition = checked(from.getCondition(), upstream_condition::failed),
+        .reported_load_permille = from.getReportedLoadPermille(),
+        .is_ejected = from.getIsEjected(),
+        .is_cold = from.getIsCold()};
+}
+
+void write(explain_answer const& from, control_schema::Explanation::Builder to)
+{
+    to.setService(text_of(from.service));
+    to.setOwner(number_of(from.owner));
+    to.setBackup(number_of(from.backup));
+    to.setPinned(number_of(from.pinned));
+    to.setRule(static_cast<control_schema::Rule>(from.rule));
+    to.setPredicted(number_of(from.predicted));
+    to.setDocumentsGeneration(from.documents_generation);
+}
+
+explain_answer read(control_schema::Explanation::Reader from)
+{
+    return {
+        .service = read_text(from.getService()),
+        .owner = read_id<vm_id>(from.getOwner()),
+        .backup = read_id<vm_id>(from.getBackup()),
+        .pinned = read_id<upstream_id>(from.getPinned()),
+        .rule = checked(from.getRule(), explained_rule::unknown_destination),
+        .predicted = read_id<upstream_id>(from.getPredicted()),
+        .documents_generation = from.getDocumentsGeneration()};
+}
+
+} // namespace cairnhead::control_codec
--- /dev/null
+++ b/libraries/control/control_answers.hpp
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <model/service.hpp>
+#include <protocol/control_message.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// What a running daemon tells operators. The types are apart from those of
+/// the reducer, since a command line client of another release reads them.
+namespace cairnhead
+{
+
+/// Where a VM is in its life.
+enum class vm_state : std::uint8_t
+{
+    /// It does not know the highest versions yet and places nothing new.
+    joining,
+    serving,
+    leaving,
+    /// The process was paused and waits for a peer to confirm its view.
+    view_expired,
+};
+
+/// Callers' packets since the process started.
+struct packet_totals
+{
+    std::uint64_t to_upstream = 0;
+    std::uint64_t to_peer = 0;
+    std::uint64_t dropped = 0;
+    std::uint64_t refused = 0;
+
+    bool operator==(packet_totals const&) const = default;
+};
+
+struct status_answer
+{
+    vm_id vm;
+    std::string failure_domain;
+    vm_state state = vm_state::joining;
+    std::uint64_t uptime_seconds = 0;
+    std::uint64_t pins = 0;
+    std::uint32_t members_alive = 0;
+    std::uint32_t members_suspect = 0;
+    std::uint32_t members_dead = 0;
+    std::vector<document_stamp> documents;
+    std::uint64_t documents_generation = 0;
+    /// Whether this VM watches the platform for its failure domain.
+    bool is_reader = false;
+    packet_totals packets;
+
+    bool operator==(status_answer const&) const = default;
+};
+
+struct member_answer
+{
+    vm_id vm;
+    std::string failure_domain;
+    incarnation life;
+    member_status status = member_status::alive;
+
+    bool operator==(member_answer const&) const = default;
+};
+
+struct service_answer
+{
+    /// `organisation/name`.
+    std::string name;
+    endpoint address;
+    flow_class traffic = flow_class::form;
+    placement_preference prefer = placement_preference::balance;
+    refusal_style refusal = refusal_style::reset;
+    bool is_idempotent = false;
+    /// How many upstreams its selector picks.
+    std::uint32_t upstreams = 0;
+
+    bool operator==(service_answer const&) const = default;
+};
+
+struct upstream_answer
+{
+    upstream_id id;
+    std::string name;
+    std::string failure_domain;
+    /// Flows that this VM owns there.
+    std::uint32_t flows = 0;
+    upstream_condition condition = upstream_condition::healthy;
+    std::uint16_t reported_load_permille = 0;
+    bool is_ejected = false;
+    bool is_cold = false;
+
+    bool operator==(upstream_answer const&) const = default;
+};
+
+/// The flow that an operator asks about.
+struct explain_question
+{
+    endpoint source;
+    endpoint destination;
+
+    bool operator==(explain_question const&) const = default;
+};
+
+/// Which rule decides about a flow's next packet on this VM.
+enum class explained_rule : std::uint8_t
+{
+    /// This VM holds the pin.
+    own_pin,
+    /// Another VM owns the flow and is asked.
+    ask_owner,
+    /// This VM owns the flow and has no pin: earlier holders are asked.
+    ask_earlier_holders,
+    /// This VM owns the flow and nobody has a pin: an opening is placed.
+    place_opening,
+    unknown_destination,
+};
+
+struct explain_answer
+{
+    /// `organisation/name`; empty for an unknown destination.
+    std::string service;
+    /// Absent when no VM may own flows.
+    std::optional<vm_id> owner;
+    /// Absent when there is no second VM.
+    std::optional<vm_id> backup;
+    /// Absent when this VM has no pin.
+    std::optional<upstream_id> pinned;
+    explained_rule rule = explained_rule::unknown_destination;
+    /// Absent when the retained versions differ.
+    std::optional<upstream_id> predicted;
+    std::uint64_t documents_generation = 0;
+
+    bool operator==(explain_answer const&) const = default;
+};
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/control/control_source.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <control/control_answers.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+/// Where the RPC server gets its answers.
+namespace cairnhead
+{
+
+/// Takes one answer, once, from any thread. One that is dropped without an
+/// answer fails the call.
+template <typename Answer>
+using reply_to = std::function<void(Answer)>;
+
+/// Answers operators' questions. All are called on the server's thread and
+/// must be safe there; they give immutable snapshots and should not block.
+struct control_source
+{
+    std::function<status_answer()> status;
+    std::function<std::vector<member_answer>()> members;
+    std::function<std::vector<service_answer>()> services;
+    std::function<std::vector<upstream_answer>()> upstreams;
+    std::function<void(explain_question, reply_to<explain_answer>)> explain;
+};
+
+/// Longer texts are neither served nor taken; the platform holds values up to
+/// a megabyte.
+inline constexpr std::size_t maximum_document_bytes = std::size_t{1} << 20U;
+
+/// One version of a document.
+struct document_content
+{
+    document_version version;
+    std::shared_ptr<std::string const> text;
+};
+
+/// Looks up a document by name for another VM: nothing when it is not held.
+/// Called on the server's thread; the reply may come from any thread.
+using document_source = std::function<void(
+    std::string name, reply_to<std::optional<document_content>>)>;
+
+} // namespace cairnhead
