Runtime: Serve flows from end to end through the daemon and its command line

Cause: the reducer had no process around it; nothing could be served. Change: libraries/runtime is the shell: one packet thread owns the reducer and waits by epoll for the fabric's and the peers' UDP sockets, results of other threads, the tick and signals. Datagrams come and go in batches of 64 with receive timestamps; old ones are dropped and counted. Ruled out: a kernel TCP proxy (ownership moves would cut flows); Prometheus counters in the packet path (plain integers, published with each tick).

--- /dev/null
+++ b/libraries/runtime/daemon.cpp
@@ -0,0 +1,68 @@
+#include <runtime/daemon.hpp>
+
+#include <runtime/request_server.hpp>
+
+#include <base/ipv4.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace cairnhead
+{
+
+namespace
+{
+
+log_options make_log_options(logging_settings const& settings)
+{
+    log_options options;
+    options.least = parse_log_level(settings.level).value_or(options.least);
+    options.lines_per_second = settings.lines_per_second;
+    return options;
+}
+
+authenticator make_authenticator(peer_settings const& settings)
+{
+    std::vector<authenticator::key> keys;
+    for (peer_key const& each : settings.keys)
+        keys.push_back({each.id, each.secret});
+    return authenticator(keys);
+}
+
+ipv4_address own_address(daemon_settings const& settings)
+{
+    return ipv4_address(settings.reducer.self.id.value());
+}
+
+} // namespace
+
+daemon::daemon(daemon_settings read_settings)
+    : settings(std::move(read_settings)),
+      log(make_log_options(this->settings.logging)), measured(fault_names()),
+      exposer(
+          this->measured.registry(),
+          own_address(this->settings),
+          this->settings.metrics_port),
+      keys(make_authenticator(this->settings.peers)),
+      calls(this->settings, this->keys, this->arrivals),
+      packets(
+          this->settings,
+          {this->keys, this->signals, this->arrivals, this->views, this->calls,
+           this->measured, this->log})
+{
+}
+
+void daemon::run()
+{
+    std::string const vm = format_ipv4(own_address(this->settings));
+    this->log.write(
+        log_level::info, "started",
+        {{"vm", vm}, {"failure_domain", this->settings.failure_domain}});
+    this->packets.start();
+    request_server const server(
+        {this->settings, this->keys, this->views, this->arrivals});
+    this->packets.run();
+    this->log.write(log_level::info, "ended", {{"vm", vm}});
+}
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/runtime/daemon.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <observability/logger.hpp>
+#include <observability/metrics.hpp>
+#include <observability/metrics_exposer.hpp>
+#include <runtime/inbox.hpp>
+#include <runtime/packet_thread.hpp>
+#include <runtime/remote_calls.hpp>
+#include <runtime/signal_source.hpp>
+#include <runtime/view_board.hpp>
+#include <settings/settings.hpp>
+#include <wire/authenticator.hpp>
+
+namespace cairnhead
+{
+
+/// The process of one entry VM: all threads and what they share.
+/// Thread safety of all methods: none; the main thread.
+class daemon
+{
+public:
+    /// Binds all sockets. Throws `system_failure`, `exposer_unavailable`.
+    /// Precondition: no other thread runs yet.
+    explicit daemon(daemon_settings read_settings);
+
+    /// Serves until a planned leave is complete, or a second signal comes.
+    /// Precondition: called once.
+    void run();
+
+private:
+    daemon_settings settings;
+    /// First, since it blocks the signals for the threads started below.
+    signal_source signals;
+    logger log;
+    metrics measured;
+    metrics_exposer exposer;
+    authenticator keys;
+    inbox arrivals;
+    view_board views;
+    remote_calls calls;
+    packet_thread packets;
+};
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/runtime/effect_executor.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <control/control_answers.hpp>
+#include <event/effect.hpp>
+#include <observability/logger.hpp>
+#include <observability/packet_counters.hpp>
+#include <runtime/event_loop.hpp>
+#include <runtime/packet_pool.hpp>
+#include <runtime/packet_sender.hpp>
+#include <runtime/refuser.hpp>
+#include <runtime/remote_calls.hpp>
+
+namespace cairnhead
+{
+
+/// What carrying out effects needs. All outlive the executor.
+struct executor_parts
+{
+    packet_pool& packets;
+    packet_sender& sender;
+    refuser& refusals;
+    remote_calls& calls;
+    packet_counters& counters;
+    logger& log;
+    event_loop& loop;
+};
+
+/// Turns effects of the reducer into datagrams, calls and log lines.
+/// Thread safety of all methods: none; one thread, the packet thread.
+class effect_executor
+{
+public:
+    explicit effect_executor(executor_parts const& shared_parts);
+
+    /// Carries out the effects in their order, and empties the list. Throws
+    /// `unknown_packet_token`. Precondition: the packets that they name are
+    /// in the pool.
+    void execute(effect_list& effects);
+
+    /// Packets since the start. No precondition.
+    [[nodiscard]] packet_totals const& totals() const;
+
+private:
+    void carry_out(send_to_upstream const& wanted);
+    void carry_out(send_to_peer const& wanted);
+    void carry_out(refuse_opening const& wanted);
+    void carry_out(drop_packet const& wanted);
+    void carry_out(send_control const& wanted);
+    void carry_out(watch_platform const& wanted);
+    void carry_out(fetch_document const& wanted);
+    void carry_out(probe_upstream const& wanted);
+    void carry_out(observe_handshake const& wanted);
+    void carry_out(leave_complete const& wanted);
+    void carry_out(report const& wanted);
+
+    executor_parts parts;
+    packet_totals counted;
+};
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/runtime/inbox.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <event/event.hpp>
+#include <reducer/reducer_view.hpp>
+#include <runtime/event_descriptor.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cairnhead
+{
+
+/// An operator asks where a flow is and why.
+struct explain_request
+{
+    flow_id flow;
+    endpoint destination;
+    /// Called on the packet thread; it must not block.
+    std::function<void(flow_explanation const&)> answer;
+};
+
+/// A document as it is served to peers.
+struct held_document
+{
+    document_version version;
+    std::shared_ptr<std::string const> text;
+};
+
+/// A peer asks for a document.
+struct document_request
+{
+    std::string name;
+    /// Called on the packet thread; it must not block.
+    std::function<void(std::optional<held_document> const&)> answer;
+};
+
+/// What other threads tell or ask the packet thread.
+using inbox_item = std::variant<
+    platform_listed,
+    platform_failed,
+    document_fetched,
+    document_fetch_failed,
+    upstream_probed,
+    explain_request,
+    document_request>;
+
+/// Carries items from other threads to the packet thread.
+/// It needs no bound: each item but the operators' answers an effect, and the
+/// reducer bounds those; operators wait for each answer.
+class inbox
+{
+public:
+    /// For the event loop. No precondition.
+    [[nodiscard]] int descriptor() const;
+
+    /// Adds one item and wakes the packet thread. Thread safety: any thread.
+    void post(inbox_item item);
+
+    /// All items so far, in the order posted. Thread safety: any thread.
+    [[nodiscard]] std::vector<inbox_item> take();
+
+private:
+    event_descriptor wake_up;
+    std::mutex guard;
+    std::vector<inbox_item> waiting;
+};
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/runtime/packet_thread.cpp
@@ -0,0 +1,181 @@
+#include <runtime/packet_thread.hpp>
+
+#include <runtime/clocks.hpp>
+#include <runtime/view_metrics.hpp>
+
+namespace cairnhead
+{
+
+namespace
+{
+
+/// A view is a copy, so it is made only this often.
+constexpr auto view_interval = std::chrono::seconds(1);
+
+traffic_sockets bind_sockets(daemon_settings const& settings)
+{
+    ipv4_address const own(settings.reducer.self.id.value());
+    return {
+        udp_socket({own, settings.fabric.listen_port}),
+        udp_socket({own, settings.peers.port})};
+}
+
+} // namespace
+
+packet_thread::packet_thread(
+    daemon_settings const& settings, shared_services const& services)
+    : shared(services), counters(fault_names().size()),
+      faults(this->counters, services.log), sockets(bind_sockets(settings)),
+      sender(
+          settings,
+          {this->sockets.fabric.descriptor(), this->sockets.peers.descriptor()},
+          services.keys,
+          this->counters),
+      refusals(settings, this->sender),
+      executor(
+          {this->packets, this->sender, this->refusals, services.calls,
+           this->counters, services.log, this->loop}),
+      driver(settings, this->packets, this->executor),
+      intake(
+          settings,
+          {this->sockets, services.keys, this->driver, this->sender,
+           this->refusals, this->counters, this->faults})
+{
+    this->watch_sources();
+}
+
+void packet_thread::start()
+{
+    this->driver.refresh_time();
+    this->driver.apply(started{wall_clock_milliseconds()});
+    this->carry_out();
+    this->publish_view();
+}
+
+void packet_thread::run()
+{
+    this->loop.run();
+    this->shared.measured.flush(this->counters);
+}
+
+void packet_thread::watch_sources()
+{
+    // In this order: after a pause the tick comes first, so that nothing is
+    // decided by the old view; and what peers say comes before new packets.
+    this->loop.watch(
+        this->ticks.descriptor(),
+        [this]
+        {
+            this->take_tick();
+        });
+    this->loop.watch(
+        this->shared.signals.descriptor(),
+        [this]
+        {
+            this->take_signals();
+        });
+    this->loop.watch(
+        this->shared.arrivals.descriptor(),
+        [this]
+        {
+            this->take_inbox();
+        });
+    this->loop.watch(
+        this->sockets.peers.descriptor(),
+        [this]
+        {
+            this->intake.take_from_peers();
+        });
+    this->loop.watch(
+        this->sockets.fabric.descriptor(),
+        [this]
+        {
+            this->intake.take_from_fabric();
+        });
+}
+
+void packet_thread::take_tick()
+{
+    this->ticks.acknowledge();
+    this->driver.refresh_time();
+    this->driver.apply(tick{});
+    this->carry_out();
+    this->shared.measured.flush(this->counters);
+    this->shared.log.tell_suppressed();
+    if (this->driver.now() >= this->next_view_at)
+        this->publish_view();
+}
+
+void packet_thread::take_signals()
+{
+    bool const was_leaving = this->signal_count > 0;
+    this->signal_count += this->shared.signals.take();
+    if (this->signal_count > 1)
+    {
+        this->shared.log.write(log_level::warning, "ended_at_once");
+        this->loop.stop();
+        return;
+    }
+    if (was_leaving || this->signal_count == 0)
+        return;
+    this->driver.refresh_time();
+    this->driver.apply(leave_requested{});
+    this->carry_out();
+}
+
+void packet_thread::take_inbox()
+{
+    auto items = this->shared.arrivals.take();
+    this->driver.refresh_time();
+    for (inbox_item& item : items)
+    {
+        std::visit(
+            [this](auto& held)
+            {
+                this->take(held);
+            },
+            item);
+    }
+    this->carry_out();
+}
+
+void packet_thread::take(explain_request& asked)
+{
+    reducer const& state = this->driver.state();
+    asked.answer(
+        state.explain(this->driver.now(), asked.flow, asked.destination));
+}
+
+void packet_thread::take(document_request& asked)
+{
+    auto const found =
+        this->driver.state().documents().find_document(asked.name);
+    if (!found.has_value())
+        return asked.answer(std::nullopt);
+    asked.answer(held_document{found->version, found->text});
+}
+
+template <typename Arrived>
+void packet_thread::take(Arrived& arrived)
+{
+    this->driver.apply(std::move(arrived));
+}
+
+void packet_thread::carry_out()
+{
+    // No packet came with these events, so none is left undecided.
+    static_cast<void>(this->driver.carry_out_effects());
+    this->sender.flush();
+}
+
+void packet_thread::publish_view()
+{
+    this->next_view_at = this->driver.now() + view_interval;
+    auto const view = std::make_shared<daemon_view const>(daemon_view{
+        this->driver.state().view(this->driver.now()),
+        this->executor.totals()});
+    update_gauges(this->shared.measured, view->decided);
+    this->shared.views.publish(view);
+}
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/runtime/packet_thread.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <observability/logger.hpp>
+#include <observability/metrics.hpp>
+#include <runtime/effect_executor.hpp>
+#include <runtime/event_loop.hpp>
+#include <runtime/fault_log.hpp>
+#include <runtime/inbox.hpp>
+#include <runtime/packet_pool.hpp>
+#include <runtime/packet_sender.hpp>
+#include <runtime/reducer_driver.hpp>
+#include <runtime/refuser.hpp>
+#include <runtime/remote_calls.hpp>
+#include <runtime/signal_source.hpp>
+#include <runtime/tick_timer.hpp>
+#include <runtime/traffic_intake.hpp>
+#include <runtime/view_board.hpp>
+
+namespace cairnhead
+{
+
+/// What the packet thread shares with the rest of the process. All outlive it.
+struct shared_services
+{
+    authenticator const& keys;
+    signal_source& signals;
+    inbox& arrivals;
+    view_board& views;
+    remote_calls& calls;
+    metrics& measured;
+    logger& log;
+};
+
+/// The thread that owns the reducer: waits for packets, timers, signals and
+/// results of other threads.
+/// Thread safety of all methods: none; one thread.
+class packet_thread
+{
+public:
+    /// Binds the sockets. Throws `system_failure`. Precondition: the settings
+    /// outlive the object.
+    packet_thread(
+        daemon_settings const& settings, shared_services const& services);
+
+    /// Has the reducer start, so that there is a first view. Precondition:
+    /// called once, before `run`.
+    void start();
+
+    /// Runs until the planned leave is complete or a second signal comes.
+    /// Throws `system_failure` and `unknown_packet_token`. Precondition:
+    /// called once.
+    void run();
+
+private:
+    void watch_sources();
+    void take_tick();
+    void take_signals();
+    void take_inbox();
+    void take(explain_request& asked);
+    void take(document_request& asked);
+    template <typename Arrived>
+    void take(Arrived& arrived);
+    void carry_out();
+    void publish_view();
+
+    shared_services shared;
+    packet_counters counters;
+    fault_log faults;
+    traffic_sockets sockets;
+    packet_sender sender;
+    refuser refusals;
+    packet_pool packets;
+    event_loop loop;
+    tick_timer ticks;
+    effect_executor executor;
+    reducer_driver driver;
+    traffic_intake intake;
+    time_point next_view_at;
+    unsigned signal_count = 0;
+};
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/runtime/remote_calls.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <control/document_client.hpp>
+#include <event/effect.hpp>
+#include <platform/platform_client.hpp>
+#include <runtime/health_prober.hpp>
+#include <runtime/inbox.hpp>
+#include <settings/settings.hpp>
+
+namespace cairnhead
+{
+
+/// Starts calls to the platform, peers and upstreams; their results go to the
+/// inbox.
+/// Thread safety: `start` may be called from any thread.
+class remote_calls
+{
+public:
+    /// Throws `rpc_unavailable`. Precondition: the keys and the inbox outlive
+    /// the object.
+    remote_calls(
+        daemon_settings const& settings,
+        authenticator const& keys,
+        inbox& results);
+
+    /// Starts a call; exactly one result arrives. No precondition.
+    void start(watch_platform const& wanted);
+    void start(fetch_document const& wanted);
+    void start(probe_upstream const& wanted);
+
+private:
+    platform_client platform;
+    document_client peers;
+    health_prober prober;
+};
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/runtime/signal_source.cpp
@@ -0,0 +1,55 @@
+#include <runtime/signal_source.hpp>
+
+#include <runtime/system_failure.hpp>
+
+#include <csignal>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+namespace cairnhead
+{
+
+namespace
+{
+
+sigset_t ending_signals()
+{
+    sigset_t signals;
+    ::sigemptyset(&signals);
+    ::sigaddset(&signals, SIGTERM);
+    ::sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+int open_blocked_signals()
+{
+    sigset_t const signals = ending_signals();
+    int const failure = ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    if (failure != 0)
+        throw system_failure(system_call::block_signals, failure);
+    return require_success(
+        system_call::create_signal_descriptor,
+        ::signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
+}
+
+} // namespace
+
+signal_source::signal_source() : signals(open_blocked_signals())
+{
+}
+
+int signal_source::descriptor() const
+{
+    return this->signals.get();
+}
+
+unsigned signal_source::take()
+{
+    unsigned count = 0;
+    signalfd_siginfo arrived{};
+    while (::read(this->signals.get(), &arrived, sizeof(arrived)) > 0)
+        ++count;
+    return count;
+}
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/runtime/traffic_intake.cpp
@@ -0,0 +1,112 @@
+#include <runtime/traffic_intake.hpp>
+
+#include <runtime/clocks.hpp>
+
+namespace cairnhead
+{
+
+traffic_intake::traffic_intake(
+    daemon_settings const& read_settings, intake_parts const& shared_parts)
+    : settings(read_settings), parts(shared_parts),
+      fabric_reader(read_settings.fabric), peer_reader(shared_parts.keys)
+{
+}
+
+void traffic_intake::take_from_fabric()
+{
+    auto const datagrams =
+        this->fabric.batch.receive(this->parts.sockets.fabric.descriptor());
+    this->begin_batch();
+    for (received_datagram const& datagram : datagrams)
+    {
+        std::visit(
+            [&](auto const& read)
+            {
+                this->take(datagram, read);
+            },
+            this->fabric_reader.read(datagram, this->oldest_accepted));
+    }
+    this->finish_batch(this->fabric);
+}
+
+void traffic_intake::take_from_peers()
+{
+    auto const datagrams =
+        this->peers.batch.receive(this->parts.sockets.peers.descriptor());
+    this->begin_batch();
+    for (received_datagram const& datagram : datagrams)
+    {
+        std::visit(
+            [&](auto const& read)
+            {
+                this->take(datagram, read);
+            },
+            this->peer_reader.read(datagram, this->oldest_accepted));
+    }
+    this->finish_batch(this->peers);
+}
+
+bool traffic_intake::is_of_refused_flow(packet_view const& packet) const
+{
+    return this->parts.refusals.has_refused(packet) &&
+           !this->parts.driver.has_pin(packet);
+}
+
+void traffic_intake::begin_batch()
+{
+    // The clocks are read after the datagrams: a pause before this line is
+    // seen by the reducer, and by the age of what was received.
+    // NOTE: A pause between here and `finish_batch` is not seen until the
+    // next event; at most one batch is sent by the old view.
+    this->parts.driver.refresh_time();
+    this->oldest_accepted =
+        wall_now() - this->settings.fabric.maximum_packet_age;
+}
+
+void traffic_intake::finish_batch(source& finished)
+{
+    std::size_t const undecided = this->parts.driver.carry_out_effects();
+    this->parts.sender.flush();
+    for (std::size_t index = 0; index < undecided; ++index)
+        this->parts.counters.count_fault(index_of(transfer_fault::undecided));
+    this->count_overflows(finished);
+}
+
+void traffic_intake::count_overflows(source& finished)
+{
+    // Unsigned, so that the difference is right when the kernel's count wraps.
+    std::uint32_t const total = finished.batch.overflowed();
+    std::uint32_t const added = total - finished.overflowed;
+    finished.overflowed = total;
+    for (std::uint32_t index = 0; index < added; ++index)
+        this->parts.counters.count_fault(
+            index_of(transfer_fault::receive_overflow));
+}
+
+void traffic_intake::take(received_datagram const&, packet_view const& packet)
+{
+    if (this->is_of_refused_flow(packet))
+        return this->parts.refusals.continue_refusal(packet);
+    this->parts.driver.route(packet, std::nullopt);
+}
+
+void traffic_intake::take(
+    received_datagram const&, framed_packet const& handed_over)
+{
+    this->parts.driver.route(handed_over.packet, handed_over.frame);
+}
+
+void traffic_intake::take(
+    received_datagram const& from, control_message const& message)
+{
+    this->parts.counters.count_control_received(from.bytes.size());
+    this->parts.driver.apply(control_arrived{message});
+}
+
+void traffic_intake::take(
+    received_datagram const& from, datagram_fault const& fault)
+{
+    this->parts.faults.note(this->parts.driver.now(), fault, from.source);
+}
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/runtime/traffic_intake.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <observability/packet_counters.hpp>
+#include <runtime/fault_log.hpp>
+#include <runtime/packet_ingest.hpp>
+#include <runtime/packet_sender.hpp>
+#include <runtime/peer_ingest.hpp>
+#include <runtime/receive_batch.hpp>
+#include <runtime/reducer_driver.hpp>
+#include <runtime/refuser.hpp>
+#include <runtime/udp_socket.hpp>
+
+namespace cairnhead
+{
+
+/// The two UDP sockets. The same ones send, so that what a VM sends comes
+/// from its own address.
+struct traffic_sockets
+{
+    udp_socket fabric;
+    udp_socket peers;
+};
+
+/// What taking in traffic needs. All outlive the intake.
+struct intake_parts
+{
+    traffic_sockets const& sockets;
+    authenticator const& keys;
+    reducer_driver& driver;
+    packet_sender& sender;
+    refuser& refusals;
+    packet_counters& counters;
+    fault_log& faults;
+};
+
+/// Receives datagrams in batches, reads them, has the reducer decide, and
+/// sends the results, all before the next batch.
+/// Thread safety of all methods: none; one thread, the packet thread.
+class traffic_intake
+{
+public:
+    /// Precondition: the settings outlive the object.
+    traffic_intake(
+        daemon_settings const& read_settings, intake_parts const& shared_parts);
+
+    /// Handles up to `batch_size` datagrams from the fabric. Throws
+    /// `system_failure` and `unknown_packet_token`. No precondition.
+    void take_from_fabric();
+
+    /// Handles up to `batch_size` datagrams from other VMs. Throws as above.
+    void take_from_peers();
+
+private:
+    /// One socket's batch, with the kernel's count of overflows so far.
+    struct source
+    {
+        receive_batch batch;
+        std::uint32_t overflowed = 0;
+    };
+
+    [[nodiscard]] bool is_of_refused_flow(packet_view const& packet) const;
+    void begin_batch();
+    void finish_batch(source& finished);
+    void count_overflows(source& finished);
+    void take(received_datagram const& from, packet_view const& packet);
+    void take(received_datagram const& from, framed_packet const& handed_over);
+    void take(received_datagram const& from, control_message const& message);
+    void take(received_datagram const& from, datagram_fault const& fault);
+
+    daemon_settings const& settings;
+    intake_parts parts;
+    packet_ingest fabric_reader;
+    peer_ingest peer_reader;
+    source fabric;
+    source peers;
+    wall_time oldest_accepted;
+};
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/runtime/view_metrics.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <observability/metrics.hpp>
+#include <reducer/reducer_view.hpp>
+
+namespace cairnhead
+{
+
+/// Sets the gauges from a view, and names the organisations in the labels.
+/// Thread safety: the thread that owns the metrics.
+void update_gauges(metrics& measured, reducer_view const& view);
+
+} // namespace cairnhead
--- /dev/null
+++ b/services/cairnhead/flags.cpp
@@ -0,0 +1,16 @@
+#include "flags.hpp"
+
+#include <absl/flags/flag.h>
+
+ABSL_FLAG(std::string, settings, "", "The settings file of an entry VM.");
+ABSL_FLAG(
+    std::string,
+    declarations,
+    "",
+    "An organisation's document, or a folder with documents.");
+ABSL_FLAG(
+    std::string,
+    at,
+    "127.0.0.1:6084",
+    "ADDRESS:PORT at which the daemon answers operators.");
+ABSL_FLAG(bool, json, false, "Write JSON for programs, not a table.");
--- /dev/null
+++ b/services/cairnhead/flags.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <absl/flags/declare.h>
+#include <string>
+
+/// All flags of the program; `command_table.cpp` says which command takes
+/// which.
+ABSL_DECLARE_FLAG(std::string, settings);
+ABSL_DECLARE_FLAG(std::string, declarations);
+ABSL_DECLARE_FLAG(std::string, at);
+ABSL_DECLARE_FLAG(bool, json);
