Reducer: Let the owner decide about a packet that visited enough VMs

Right after joins the chain ingress, owner, backup, four earlier holders fills the list, and the exhausted packet was dropped on its way back to the owner. Ruled out: refusals (0), lost datagrams (repetitions took the same path for 20 s), the leaving VM (the same without a leave). Change: a full list ends the search and returns to the owner; only passing on towards an owner is cut off. Also: a SYN to an address that was allotted to another organisation is a new flow; a joiner keeps the platform's VM list until it joins; a leave that ran out of time says so.

--- a/libraries/reducer/flow_router.cpp
+++ b/libraries/reducer/flow_router.cpp
@@ -34,8 +34,6 @@
     this->holders = this->context.ownership.holders_of(this->packet.flow);
     if (!this->packet.frame)
         return this->route_from_ingress(held);
-    if (this->packet.frame->visited.size() >= maximum_visited_vms)
-        return this->drop(drop_reason::visited_too_many);
     this->route_by_role(this->packet.frame->role, held);
 }
 
@@ -91,6 +89,9 @@
 
 void flow_router::route_towards_owner(pin* held)
 {
+    // VMs whose views differ could pass a packet on and on as the owner's.
+    if (this->has_visited_enough())
+        return this->drop(drop_reason::visited_too_many);
     if (this->may_ask(this->holders.owner))
         return this->ask_owner(held);
     // Without this, every packet of the flow would be lost between the
@@ -214,7 +215,15 @@
 {
     bool const is_syn = this->packet.phase == packet_phase::opening ||
                         this->packet.phase == packet_phase::opening_with_data;
-    return is_syn && held.state == pin_state::closing;
+    if (!is_syn)
+        return false;
+    // The address may belong to another organisation now: a flow that stands
+    // stays, but what opens anew must not reach the former one's upstream.
+    service const* const declared =
+        this->context.declarations.find_service(this->packet.destination);
+    bool const is_reallotted =
+        declared != nullptr && declared->id != held.service;
+    return held.state == pin_state::closing || is_reallotted;
 }
 
 bool flow_router::is_opening_phase() const
@@ -246,6 +255,12 @@
     return this->packet.frame->visited.contains(vm);
 }
 
+bool flow_router::has_visited_enough() const
+{
+    return this->packet.frame &&
+           this->packet.frame->visited.size() >= maximum_visited_vms;
+}
+
 bool flow_router::may_ask(vm_id vm) const
 {
     return vm != this->context.self.id && !this->has_visited(vm) &&
@@ -254,7 +269,7 @@
 
 std::optional<vm_id> flow_router::next_to_ask() const
 {
-    if (!this->may_have_pin_elsewhere())
+    if (this->has_visited_enough() || !this->may_have_pin_elsewhere())
         return std::nullopt;
     if (this->may_ask(this->holders.backup))
         return this->holders.backup;
--- a/libraries/reducer/flow_router.hpp
+++ b/libraries/reducer/flow_router.hpp
@@ -47,6 +47,7 @@
     [[nodiscard]] bool is_opening_phase() const;
     [[nodiscard]] bool is_claim_consistent(pin_claim const& claim) const;
     [[nodiscard]] bool has_visited(vm_id vm) const;
+    [[nodiscard]] bool has_visited_enough() const;
     [[nodiscard]] bool may_ask(vm_id vm) const;
     [[nodiscard]] bool may_have_pin_elsewhere() const;
     [[nodiscard]] std::optional<vm_id> next_to_ask() const;
--- a/libraries/reducer/handover.cpp
+++ b/libraries/reducer/handover.cpp
@@ -178,7 +178,10 @@
     if (!is_done && now < this->leave_latest_at)
         return;
     this->is_left = true;
-    effects.emplace_back(report{report_kind::leave_finished, "", ""});
+    // Operators must be able to tell a leave that ran out of time, as idle
+    // flows then stand on one VM only.
+    std::string const detail = is_done ? "" : "timeout";
+    effects.emplace_back(report{report_kind::leave_finished, "", detail});
     effects.emplace_back(leave_complete{});
 }
 
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -190,7 +190,11 @@
     time_point now, platform_listed const& body, effect_list& out)
 {
     this->versions.receive(now, body, out);
-    if (this->has_joined)
+    // A joiner whose seeds are all gone finds the others by this list alone,
+    // and the next one may come half a minute later.
+    if (!this->has_joined)
+        this->hints_before_join = body.vms;
+    else
         this->members.hint(now, body.vms, out);
 }
 
@@ -332,6 +336,7 @@
     this->has_joined = true;
     this->lease_ends_at = now + this->settings.membership.lease;
     this->members.start(now, this->first_life, out);
+    this->members.hint(now, this->hints_before_join, out);
 }
 
 void reducer::apply_membership_changes(time_point now)
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -125,6 +125,7 @@
     std::uint64_t applied_documents = ~std::uint64_t(0);
     std::vector<vm_id> domain_vms;
     std::vector<vm_id> peer_vms;
+    std::vector<vm_id> hints_before_join;
     /// An event that comes after this shows that the process was paused.
     time_point lease_ends_at;
     incarnation first_life;
--- a/tests/reducer/reducer_failures_test.cpp
+++ b/tests/reducer/reducer_failures_test.cpp
@@ -297,6 +297,57 @@
     assert_whole(vms);
 }
 
+Test(reducer, opens_flows_at_once_after_many_joins)
+{
+    // Symptom: for twenty seconds after a fleet's start some callers are not
+    // answered, however often they repeat.
+    // Sequence: eight VMs join one after the other, and flows open at once.
+    // Cause: a packet that had visited the most VMs allowed was dropped on its
+    // way back to the owner, which was to decide.
+    std::vector<std::string> const four = {"a", "b", "c", "d"};
+    sample_declarations declared = sample();
+    declared.domains = four;
+    fleet vms(sample_fleet(8, four, {declared}));
+    vms.start();
+    open_flows(vms);
+    cr_assert_eq(vms.drops(drop_reason::visited_too_many), 0U);
+    assert_whole(vms);
+}
+
+Test(reducer, gives_an_address_that_moved_to_its_new_organisation)
+{
+    // Symptom: a new connection reaches the former organisation's upstream.
+    // Sequence: an address is allotted to another organisation while a flow
+    // is open; its caller opens a new flow from the same port.
+    // Cause: the SYN was taken for one of the flow that stands.
+    sample_declarations first = sample();
+    sample_declarations second = sample();
+    second.organisation = "brackenlea";
+    second.network = 17;
+    fleet vms(sample_fleet(4, domains, {first, second}));
+    vms.start();
+    std::size_t const old_flow = vms.open(first.address());
+    vms.run_for(3s);
+    std::string const moved = second.organisation_text();
+    std::string const from = "198.51.17.1";
+    std::string text = moved;
+    text.replace(text.find(from), from.size(), "198.51.16.1");
+    vms.publish(
+        "allotment",
+        "organisations:\n  association:\n    addresses: [198.51.99.0/24]\n"
+        "    upstreams: [127.0.16.0/24]\n  brackenlea:\n"
+        "    addresses: [198.51.16.0/23]\n    upstreams: [127.0.17.0/24]\n");
+    vms.publish("organisations/brackenlea", text);
+    vms.run_for(5s);
+    vms.send(old_flow);
+    vms.run_for(5s);
+    cr_assert(vms.flow(old_flow).state == caller_state::established);
+    vms.reopen(old_flow);
+    vms.run_for(5s);
+    cr_assert(vms.flow(old_flow).state == caller_state::established);
+    cr_assert_eq(vms.flow(old_flow).upstream.value() >> 8 & 0xff, 17U);
+}
+
 Test(reducer, serves_both_halves_of_a_split_fleet)
 {
     // Symptom: during a cut between failure domains nothing new is served,
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -214,6 +214,14 @@
     return index;
 }
 
+void fleet::reopen(std::size_t flow)
+{
+    caller_flow& reopened = this->flows[flow];
+    reopened.state = caller_state::opening;
+    reopened.upstream = upstream_id();
+    this->await_answer(flow, packet_phase::opening);
+}
+
 void fleet::send(std::size_t flow)
 {
     caller_flow const& sending = this->flows[flow];
@@ -386,7 +394,12 @@
 void fleet::apply(node& target, event::body_type body)
 {
     effect_list effects;
-    target.decides->apply({this->time.now(), std::move(body)}, effects);
+    event const happened{this->time.now(), std::move(body)};
+    if (this->settings.apply_event)
+        this->settings.apply_event(
+            target.vm.id, *target.decides, happened, effects);
+    else
+        target.decides->apply(happened, effects);
     this->carry_out(target, effects);
 }
 
@@ -445,6 +458,11 @@
     ++this->control_message_count;
     if (!this->may_reach(source.vm.id, body.target))
         return;
+    // Without this test a lossless run would draw other random numbers.
+    bool const is_lossy = this->settings.lost_control_permille > 0;
+    if (is_lossy &&
+        this->random() % 1'000 < this->settings.lost_control_permille)
+        return;
     this->deliver(body.target, control_arrived{{source.vm.id, body.body}});
 }
 
@@ -460,9 +478,12 @@
     vm_id const vm = source.vm.id;
     this->schedule(
         this->time.now() + body.wait,
-        [this, vm]
+        [this, vm, after = body.after]
         {
-            if (this->watches.contains(vm))
+            // Not a later watch: it would be answered before its time, and
+            // each answer would start one more of these.
+            auto const found = this->watches.find(vm);
+            if (found != this->watches.end() && found->second == after)
                 this->answer_watch(vm);
         });
 }
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -25,6 +25,10 @@
     failure_domain_id domain;
 };
 
+/// Applies an event to a VM's reducer in the fleet's place.
+using event_applier = std::function<void(
+    vm_id vm, reducer& decides, event const& event, effect_list& effects)>;
+
 struct fleet_settings
 {
     std::vector<fleet_vm> vms;
@@ -34,9 +38,13 @@
     std::uint64_t seed = 1;
     /// Of the packets between VMs, per thousand.
     std::uint32_t lost_permille = 0;
+    /// Of the control datagrams between VMs, per thousand.
+    std::uint32_t lost_control_permille = 0;
     duration delay = std::chrono::microseconds(500);
     /// How long the fabric goes on sending to a VM that died.
     duration fabric_lag = std::chrono::seconds(3);
+    /// Lets a measurement see each event with its effects; empty for none.
+    event_applier apply_event;
 };
 
 enum class caller_state : std::uint8_t
@@ -100,6 +108,8 @@
 
     /// Opens a flow; the answer is its index.
     std::size_t open(endpoint const& destination);
+    /// The caller opens anew from the ports of a flow that it gave up.
+    void reopen(std::size_t flow);
     /// Sends data, or FIN, on an established flow.
     void send(std::size_t flow);
     void close(std::size_t flow);
@@ -208,6 +218,8 @@
     /// Third byte of the service's and the upstreams' addresses.
     std::uint32_t network = 16;
     std::uint32_t slots = 2;
+    /// Of each upstream; zero means that none has a health endpoint.
+    std::uint16_t health_port = 0;
 
     [[nodiscard]] std::string organisation_text() const;
     [[nodiscard]] endpoint address() const;
--- a/tests/support/sample_declarations.cpp
+++ b/tests/support/sample_declarations.cpp
@@ -36,7 +36,10 @@
                 format_ipv4(ipv4_address(this->upstream_at(position).value())) +
                 "\n    failure_domain: " + domain +
                 "\n    slots: " + std::to_string(this->slots) +
-                "\n    connections: 20000\n    labels: {app: listings";
+                "\n    connections: 20000";
+        if (this->health_port != 0)
+            text += "\n    health_port: " + std::to_string(this->health_port);
+        text += "\n    labels: {app: listings";
         if (this->draining.contains(position))
             text += ", draining: \"true\"";
         text += "}\n";
