Command line: Let match read a folder of declarations

Cause: the flag's help allows a folder, and match failed with "cannot read". Ruled out: changing the help only; check takes a folder as well. Change: each organisation's document in the folder is matched for itself.

--- a/services/cairnhead/match_command.cpp
+++ b/services/cairnhead/match_command.cpp
@@ -1,4 +1,5 @@
 #include "command.hpp"
+#include "declaration_files.hpp"
 #include "error_lines.hpp"
 #include "flags.hpp"
 #include "text_file.hpp"
@@ -58,26 +59,51 @@
     return absl::StrJoin(shown.labels, ",", absl::PairFormatter("="));
 }
 
-void print_table(
-    std::string const& organisation, std::span<upstream const> picked)
+/// What the selector picks in one organisation; it never picks in another.
+struct picked_upstreams
+{
+    std::string organisation;
+    std::vector<upstream> upstreams;
+};
+
+/// The picks of each organisation's document. Throws as the readers do.
+std::vector<picked_upstreams>
+pick_in_all(selector const& picks, std::filesystem::path const& path)
+{
+    std::vector<picked_upstreams> found;
+    for (auto const& file : find_declaration_files(path).organisations)
+    {
+        auto const document = parse_organisation(read_text_file(file));
+        found.push_back({document.organisation, pick(picks, document)});
+    }
+    return found;
+}
+
+void print_table(std::span<picked_upstreams const> picked)
 {
     text_table table({"ORGANISATION", "UPSTREAM", "ADDRESS", "LABELS"});
-    for (upstream const& each : picked)
-        table.add_row(
-            {organisation, each.name, address_text(each), label_text(each)});
+    for (picked_upstreams const& own : picked)
+    {
+        for (upstream const& each : own.upstreams)
+            table.add_row(
+                {own.organisation, each.name, address_text(each),
+                 label_text(each)});
+    }
     table.write(std::cout);
 }
 
-nlohmann::json
-to_json(std::string const& organisation, std::span<upstream const> picked)
+nlohmann::json to_json(std::span<picked_upstreams const> picked)
 {
     auto rows = nlohmann::json::array();
-    for (upstream const& each : picked)
-        rows.push_back(
-            {{"organisation", organisation},
-             {"upstream", each.name},
-             {"address", address_text(each)},
-             {"labels", each.labels}});
+    for (picked_upstreams const& own : picked)
+    {
+        for (upstream const& each : own.upstreams)
+            rows.push_back(
+                {{"organisation", own.organisation},
+                 {"upstream", each.name},
+                 {"address", address_text(each)},
+                 {"labels", each.labels}});
+    }
     return rows;
 }
 
@@ -91,12 +117,11 @@
     auto const picks = read_selector(operands.front());
     if (!picks.has_value())
         return exit_code::rejected;
-    auto const document = parse_organisation(read_text_file(path));
-    auto const picked = pick(*picks, document);
+    auto const picked = pick_in_all(*picks, path);
     if (absl::GetFlag(FLAGS_json))
-        std::cout << to_json(document.organisation, picked).dump(2) << '\n';
+        std::cout << to_json(picked).dump(2) << '\n';
     else
-        print_table(document.organisation, picked);
+        print_table(picked);
     return exit_code::success;
 }
 
