Control: Show failure domains by name

Cause: operators saw id- for every failure domain but the own, as VMs tell each other hashes only. Ruled out: names on every probe, which would cost control bytes. Change: upstreams keep their domain's name, and answers look names up there. Conclusion: a domain without declared upstreams still shows as a number.

--- a/libraries/declaration/organisation.cpp
+++ b/libraries/declaration/organisation.cpp
@@ -265,7 +265,8 @@
         result.name = entry.key;
         result.organisation = make_organisation_id(this->document.organisation);
         result.id = this->read_upstream_address(mapping);
-        result.domain = this->read_failure_domain(mapping);
+        result.domain_name = this->read_failure_domain(mapping);
+        result.domain = make_failure_domain_id(result.domain_name);
         result.labels = this->read_labels(mapping);
         result.is_draining = has_draining_label(result.labels);
         this->read_capacity(mapping, result);
@@ -287,7 +288,7 @@
         return {};
     }
 
-    [[nodiscard]] failure_domain_id
+    [[nodiscard]] std::string
     read_failure_domain(declaration_mapping const& mapping)
     {
         std::string const* const name =
@@ -295,7 +296,7 @@
         if (name == nullptr)
             return {};
         this->check_name(*name, mapping.place_of("failure_domain"));
-        return make_failure_domain_id(*name);
+        return *name;
     }
 
     [[nodiscard]] std::map<std::string, std::string>
--- a/libraries/model/service.hpp
+++ b/libraries/model/service.hpp
@@ -50,6 +50,8 @@
     std::uint32_t openings_per_second = 0;
     /// Flows open at the same time.
     std::uint32_t flows = 0;
+
+    bool operator==(service_limits const&) const = default;
 };
 
 /// A back end as declared. Its address is also its identity.
@@ -59,6 +61,8 @@
     std::string name;
     organisation_id organisation;
     failure_domain_id domain;
+    /// The domain's name, for people.
+    std::string domain_name;
     std::map<std::string, std::string> labels;
     /// Requests that it works on at the same time; its weight in placement.
     std::uint32_t slots = 1;
--- a/libraries/runtime/answer_builder.cpp
+++ b/libraries/runtime/answer_builder.cpp
@@ -2,6 +2,7 @@
 
 #include <model/directory.hpp>
 
+#include <absl/container/flat_hash_map.h>
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -46,18 +47,32 @@
     return explained_rule::unknown_destination;
 }
 
-/// The name of a failure domain where it is known.
-/// FIXME: Only the own name is. VMs tell each other hashes of the names, and
-/// documents are compiled to hashes, so the others are shown as numbers.
-std::string
-domain_text(daemon_settings const& settings, failure_domain_id domain)
-{
-    if (domain == settings.reducer.self.domain)
-        return settings.failure_domain;
-    std::array<char, sizeof("id-00000000")> text{};
-    std::snprintf(text.data(), text.size(), "id-%08x", domain.value());
-    return text.data();
-}
+/// Names of failure domains. VMs tell each other hashes of the names only;
+/// the declared upstreams and the own settings give the names back.
+class domain_names
+{
+public:
+    domain_names(daemon_settings const& settings, daemon_view const& view)
+    {
+        for (upstream const& each : view.decided.declarations->upstreams())
+            this->names.emplace(each.domain, each.domain_name);
+        this->names[settings.reducer.self.domain] = settings.failure_domain;
+    }
+
+    /// The name, or the hash where no upstream stands in the domain.
+    [[nodiscard]] std::string name_of(failure_domain_id domain) const
+    {
+        auto const known = this->names.find(domain);
+        if (known != this->names.end())
+            return known->second;
+        std::array<char, sizeof("id-00000000")> text{};
+        std::snprintf(text.data(), text.size(), "id-%08x", domain.value());
+        return text.data();
+    }
+
+private:
+    absl::flat_hash_map<failure_domain_id, std::string> names;
+};
 
 std::uint32_t count_members(reducer_view const& view, auto const& is_counted)
 {
@@ -134,12 +149,12 @@
 std::vector<member_answer>
 make_members(daemon_settings const& settings, daemon_view const& view)
 {
+    domain_names const names(settings, view);
     std::vector<member_answer> answers;
     for (member const& known : view.decided.members)
     {
         answers.push_back(
-            {known.id, domain_text(settings, known.domain), known.life,
-             known.status});
+            {known.id, names.name_of(known.domain), known.life, known.status});
     }
     return answers;
 }
@@ -155,6 +170,7 @@
 std::vector<upstream_answer>
 make_upstreams(daemon_settings const& settings, daemon_view const& view)
 {
+    domain_names const names(settings, view);
     std::vector<upstream_answer> answers;
     for (placement::upstream_view const& each : view.decided.upstreams)
     {
@@ -164,7 +180,7 @@
         if (declared != nullptr)
         {
             answer.name = declared->name;
-            answer.failure_domain = domain_text(settings, declared->domain);
+            answer.failure_domain = names.name_of(declared->domain);
         }
         answers.push_back(std::move(answer));
     }
