Versions: Name the back-off that the tests' bounds are counted for

Cause: the run of a fresh clone failed 2 of 28 versions tests: their bounds on reads in 60 s (fewer than 16) were counted for a longest pause of 30 s, the default until the back-off was shortened to 4 s for changes after an outage. Ruled out: looser bounds; going back to 30 s (9.1 s until in force, target 7). Change: the two tests set 30 s themselves; the bounds stay. Conclusion: at 4 s a fleet at the target reads 14 / 3 s while the platform is down, far below its 2,000 a second.

--- a/tests/versions/fleet.cpp
+++ b/tests/versions/fleet.cpp
@@ -40,6 +40,8 @@
     auto const domain = static_cast<std::uint32_t>(number % this->domains);
     vm_identity const self{vm_id(first_vm + number), failure_domain_id(domain)};
     version_settings settings;
+    // The bounds on reads in these tests are counted for this back-off.
+    settings.backoff_maximum = std::chrono::seconds(30);
     settings.readers_per_domain = 1;
     this->nodes.push_back(
         {self, version_store(settings, self, number), {}, false, {}});
--- a/tests/versions/test_pieces.cpp
+++ b/tests/versions/test_pieces.cpp
@@ -114,7 +114,9 @@
     // Symptom: the platform's limit of reads is used up. Sequence: its watch
     // returns at once without news. Cause: the next watch follows directly.
     version_random random(1);
-    platform_watch watch(version_settings{});
+    version_settings settings;
+    settings.backoff_maximum = 30s;
+    platform_watch watch(settings);
     std::size_t watches = 0;
     for (time_point now{}; now < time_point{} + 60s; now += 100ms)
     {
