Reducer: Split the flow router by what it does

Cause: one file of 649 lines; a newcomer looks for the way of a packet, for pins that ride on packets, or for placing, and store_backup had 40 lines. Ruled out: three classes, which would pass the same seven things around. Change: three source files of one class; the check of a claim stands once; a datagram that goes to the owner carries the pin like any later packet.

--- a/libraries/reducer/flow_router.cpp
+++ b/libraries/reducer/flow_router.cpp
@@ -1,9 +1,8 @@
 #include <reducer/flow_router.hpp>
 
-#include <base/ipv4.hpp>
-
 #include <tuple>
 
+/// The way of a packet to the VM or upstream that is next.
 namespace cairnhead
 {
 
@@ -15,17 +14,6 @@
     return {held.flow, held.service, held.upstream, held.state};
 }
 
-/// Whether service and upstream belong together, as far as both are known.
-bool is_claim_within_one_organisation(
-    directory const& known, pin_claim const& claim)
-{
-    service const* const claimed = known.find_service(claim.service);
-    upstream const* const target = known.find_upstream(claim.upstream);
-    if (claimed == nullptr || target == nullptr)
-        return true;
-    return claimed->organisation == target->organisation;
-}
-
 } // namespace
 
 flow_router::flow_router(
@@ -136,7 +124,7 @@
 
 void flow_router::ask_owner(pin* held)
 {
-    if (held == nullptr || this->is_opening_phase())
+    if (held == nullptr || this->is_syn())
         return this->send_peer(this->holders.owner, frame_role::to_owner);
     // The pin rides along: an owner that restarted has none, and would not ask
     // a VM that is already among those visited.
@@ -144,83 +132,6 @@
     this->send_peer_with_claim(this->holders.owner, frame_role::adopt, *held);
 }
 
-void flow_router::store_backup(pin* held)
-{
-    if (!this->packet.frame->claim)
-        return this->drop(drop_reason::service_mismatch);
-    pin_claim const& claim = *this->packet.frame->claim;
-    if (!this->is_claim_consistent(claim))
-        return this->drop(drop_reason::service_mismatch);
-    bool const is_replaced =
-        held != nullptr && held->upstream != claim.upstream &&
-        (held->state == pin_state::opening || this->is_syn());
-    if (is_replaced)
-    {
-        // The owner decided anew: an opening moved away from an upstream that
-        // never answered, or the caller reuses the ports of an ended flow.
-        this->context.release(this->now, *held);
-        held = nullptr;
-    }
-    if (held == nullptr)
-        held = this->context.insert(this->now, claim);
-    // With a full table the packet still goes on: the owner has the pin.
-    if (held == nullptr)
-        return this->send_upstream(claim.upstream);
-    if (held->upstream != claim.upstream)
-    {
-        // Two halves of a split fleet pinned the flow differently. The pin
-        // that stands here stays: an established flow never moves.
-        this->effects.emplace_back(report{
-            report_kind::pin_conflict,
-            format_ipv4(ipv4_address(held->upstream.value())),
-            format_ipv4(ipv4_address(claim.upstream.value()))});
-        return this->send_upstream(held->upstream);
-    }
-    this->context.pins.set_state(this->now, *held, claim.state);
-    if (this->packet.phase == packet_phase::reset)
-        this->context.pins.set_reset(this->now, *held);
-    this->send_upstream(this->note_copied(*held).upstream);
-}
-
-void flow_router::answer_second_chance(pin* held)
-{
-    if (held == nullptr || this->is_new_flow_of(*held))
-        return this->seek_pin();
-    if (this->holders.owner == this->context.self.id)
-        return this->forward_pinned(*held);
-    if (!this->context.members.is_reachable(this->holders.owner))
-        return this->send_by_own_pin(*held);
-    this->send_peer_with_claim(this->holders.owner, frame_role::adopt, *held);
-}
-
-void flow_router::adopt(pin* held)
-{
-    if (!this->packet.frame->claim)
-        return this->drop(drop_reason::service_mismatch);
-    pin_claim const& claim = *this->packet.frame->claim;
-    if (!this->is_claim_consistent(claim))
-        return this->drop(drop_reason::service_mismatch);
-    if (held != nullptr)
-        return this->forward_pinned(*held);
-    pin* const adopted = this->context.insert(this->now, claim);
-    // With a full table the flow still goes on; the next packet asks again.
-    if (adopted == nullptr)
-        return this->send_upstream(claim.upstream);
-    adopted->refresh_at = this->now;
-    this->forward_pinned(*adopted);
-}
-
-void flow_router::decide_unknown(pin* held)
-{
-    if (held != nullptr && !this->is_new_flow_of(*held))
-        return this->forward_pinned(*held);
-    if (this->holders.owner != this->context.self.id)
-        return this->drop(drop_reason::owner_unreachable);
-    if (this->is_opening_phase())
-        return this->place_opening();
-    this->send_by_prediction();
-}
-
 bool flow_router::may_send_directly(pin const& held) const
 {
     // Only the backup: a pin left on a former holder may be of an ended flow
@@ -257,23 +168,6 @@
     return this->is_syn() || this->packet.phase == packet_phase::datagram;
 }
 
-bool flow_router::is_claim_consistent(pin_claim const& claim) const
-{
-    if (claim.flow != this->packet.flow)
-        return false;
-    // A packet of one organisation must never reach another's upstream, also
-    // when the VM that sent the claim is wrong. What is not known here yet
-    // cannot be checked and is trusted: the frame is authenticated.
-    service const* const addressed =
-        this->context.declarations.find_service(this->packet.destination);
-    service const* const claimed =
-        this->context.declarations.find_service(claim.service);
-    bool const is_of_another = addressed != nullptr && claimed != nullptr &&
-                               addressed->organisation != claimed->organisation;
-    return !is_of_another &&
-           is_claim_within_one_organisation(this->context.declarations, claim);
-}
-
 bool flow_router::has_visited(vm_id vm) const
 {
     if (!this->packet.frame)
@@ -355,124 +249,6 @@
     this->send_peer(this->holders.owner, frame_role::exhausted);
 }
 
-bool flow_router::may_decide()
-{
-    // A joiner knows itself alone at first, so it takes itself for the owner
-    // of every flow: it would place what others own, and by prediction reset
-    // flows that they know.
-    if (this->context.permission == placing_permission::joining)
-        this->drop(drop_reason::not_ready);
-    // A VM that slept may have missed that an upstream left, or that another
-    // VM owns the flow now: it would place work where none may go any more.
-    if (this->context.permission == placing_permission::view_expired)
-        this->drop(drop_reason::view_expired);
-    return this->context.permission == placing_permission::allowed;
-}
-
-void flow_router::place_opening()
-{
-    if (!this->may_decide())
-        return;
-    service const* const target =
-        this->context.declarations.find_service(this->packet.destination);
-    if (target == nullptr)
-        return this->drop(drop_reason::unknown_destination);
-    // Data in a SYN may run at each upstream that gets the SYN, and two
-    // halves of a split fleet may place it twice. Dropping makes the caller
-    // repeat the SYN without data (RFC 7413 section 4.1.3).
-    bool const may_run_twice =
-        this->packet.phase == packet_phase::opening_with_data &&
-        !target->is_idempotent;
-    if (may_run_twice)
-        return this->drop(drop_reason::refused_silently);
-    std::optional<admission_refusal> const refusal =
-        this->context.admitter.admit(
-            this->now, *target,
-            static_cast<std::uint32_t>(this->context.pins.size()));
-    if (refusal)
-        return this->refuse(*target, refusal->reason, refusal->retry_at);
-    this->place_admitted(*target);
-}
-
-void flow_router::place_admitted(service const& service)
-{
-    placement_result const result =
-        this->context.placer.choose(this->now, service, this->packet.flow);
-    if (auto const* const refused = std::get_if<not_placed>(&result))
-        return this->refuse(service, refused->reason, refused->retry_at);
-    bool const is_datagram = this->packet.phase == packet_phase::datagram;
-    pin_claim const claim{
-        this->packet.flow, service.id, std::get<placed>(result).upstream,
-        is_datagram ? pin_state::established : pin_state::opening};
-    // The pin of an ended flow from the same ports may still be here.
-    pin* const ended = this->context.pins.find(this->packet.flow);
-    if (ended != nullptr)
-        this->context.release(this->now, *ended);
-    pin* const made = this->context.insert(this->now, claim);
-    if (made == nullptr)
-        return this->refuse(
-            service, refusal_reason::table_full,
-            this->now + this->settings.opening_lifetime);
-    made->may_have_run = this->packet.phase != packet_phase::opening;
-    this->context.count_flow(this->now, *made);
-    this->forward_with_copy(*made);
-}
-
-void flow_router::send_by_prediction()
-{
-    if (!this->may_decide())
-        return;
-    service const* const target =
-        this->context.declarations.find_service(this->packet.destination);
-    if (target == nullptr)
-        return this->drop(drop_reason::unknown_destination);
-    // Never reset what is not known: a wrong upstream would reset a flow that
-    // may well live. Only services whose flows nearly always stand where
-    // prediction puts them take that risk, for the sake of those that do.
-    if (target->prefer != placement_preference::continuity)
-        return this->drop(drop_reason::unknown_flow);
-    if (this->may_holder_be_cut_off() &&
-        !this->context.predictions.may_predict(this->now, this->packet.flow))
-        return this->drop(drop_reason::unknown_flow);
-    std::optional<upstream_id> const predicted =
-        this->context.placer.predict(*target, this->packet.flow);
-    if (!predicted)
-        return this->drop(drop_reason::unknown_flow);
-    pin* const made = this->context.insert(
-        this->now,
-        {this->packet.flow, target->id, *predicted, pin_state::established});
-    if (made == nullptr)
-        return this->send_upstream(*predicted);
-    this->context.count_flow(this->now, *made);
-    this->forward_with_copy(*made);
-}
-
-bool flow_router::may_holder_be_cut_off() const
-{
-    // Holders that died leave others of their failure domain within reach.
-    // Where a whole domain is out of reach, they may live and have the pin,
-    // and the caller's next repetition may reach them.
-    membership const& members = this->context.members;
-    for (vm_id const vm : this->context.ownership.earlier_holders_of(
-             this->now, this->packet.flow))
-    {
-        member const* const known = members.find(vm);
-        if (known == nullptr || members.is_reachable(vm))
-            continue;
-        if (!members.is_domain_reachable(known->domain))
-            return true;
-    }
-    return false;
-}
-
-void flow_router::refuse(
-    service const& service, refusal_reason reason, time_point retry_at)
-{
-    this->effects.emplace_back(refuse_opening{
-        this->packet.token, service.organisation, service.refusal, reason,
-        retry_at});
-}
-
 void flow_router::forward_pinned(pin& held)
 {
     this->context.count_flow(this->now, held);
@@ -537,42 +313,6 @@
         observe_handshake{held.organisation, held.traffic, latency});
 }
 
-bool flow_router::repeat_opening(pin& held)
-{
-    // One caller that never hears its answer repeats many times. Counted each
-    // time, it alone could eject a healthy upstream of a quiet service.
-    if (!held.is_repeated)
-        this->context.placer.opening_repeated(
-            this->now, held.upstream, this->effects);
-    held.is_repeated = true;
-    service const* const target =
-        this->context.declarations.find_service(held.service);
-    if (target == nullptr)
-        return true;
-    if (!this->context.admitter.may_repeat(this->now, *target))
-        return false;
-    bool const is_dead =
-        this->context.placer.is_ejected(this->now, held.upstream);
-    if (is_dead && !held.may_have_run)
-        this->move_opening(held, *target);
-    return true;
-}
-
-void flow_router::move_opening(pin& held, service const& service)
-{
-    placement_result const result =
-        this->context.placer.choose(this->now, service, held.flow);
-    auto const* const chosen = std::get_if<placed>(&result);
-    if (chosen == nullptr || chosen->upstream == held.upstream)
-        return;
-    this->context.uncount_flow(this->now, held);
-    held.upstream = chosen->upstream;
-    held.is_repeated = false;
-    // The backup still has the old upstream until this packet reaches it.
-    held.refresh_at = this->now;
-    this->context.count_flow(this->now, held);
-}
-
 void flow_router::forward_with_copy(pin& held)
 {
     vm_id const other = this->holders.backup == this->context.self.id
@@ -628,22 +368,4 @@
     this->effects.emplace_back(send_to_peer{this->packet.token, target, frame});
 }
 
-void store_copied_pins(
-    time_point now, routing_context const& context, pin_batch const& batch)
-{
-    for (pin_claim const& claim : batch.pins)
-    {
-        if (context.pins.find(claim.flow) != nullptr)
-            continue;
-        if (!is_claim_within_one_organisation(context.declarations, claim))
-            continue;
-        pin* const added = context.insert(now, claim);
-        if (added == nullptr)
-            continue;
-        added->copied_epoch = context.ownership.epoch();
-        if (context.is_owner_of(claim.flow))
-            context.count_flow(now, *added);
-    }
-}
-
 } // namespace cairnhead
--- a/libraries/reducer/flow_router.hpp
+++ b/libraries/reducer/flow_router.hpp
@@ -40,6 +40,9 @@
     void route_towards_owner(pin* held);
     void ask_owner(pin* held);
     void store_backup(pin* held);
+    [[nodiscard]] bool
+    is_replaced_by(pin const& held, pin_claim const& claim) const;
+    void keep_conflicting_pin(pin const& held, pin_claim const& claim);
     void answer_second_chance(pin* held);
     void adopt(pin* held);
     void decide_unknown(pin* held);
@@ -48,6 +51,7 @@
     [[nodiscard]] bool is_new_flow_of(pin const& held) const;
     [[nodiscard]] bool is_syn() const;
     [[nodiscard]] bool is_opening_phase() const;
+    [[nodiscard]] pin_claim const* consistent_claim() const;
     [[nodiscard]] bool is_claim_consistent(pin_claim const& claim) const;
     [[nodiscard]] bool has_visited(vm_id vm) const;
     [[nodiscard]] bool has_visited_enough() const;
