Measurements: Stand beside the tests instead of among them

Cause: 3,600 lines of programs that print figures counted as tests, though they check nothing; the top level is split by what code is. Ruled out: merging them into one program, which would build all for one figure. Change: tests/measure and measure_imbalance move to measurements/.

--- a/tests/placement/measure_imbalance.cpp
+++ b/measurements/measure_imbalance.cpp
@@ -2,7 +2,7 @@
 /// policy and two baselines. Arrivals, lifetimes and seeds are the same for
 /// all; every VM's placement sees only the openings that it owns.
 
-#include "fixture.hpp"
+#include <placement/fixture.hpp>
 
 #include <placement/rendezvous.hpp>
 
