--- a/libraries/placement/placement_policy.hpp
+++ b/libraries/placement/placement_policy.hpp
@@ -6,7 +6,7 @@
 {
 
 /// The numbers of the placement policy that were chosen by measurement
-/// (tests/placement/measure_imbalance.cpp). They are no operator settings;
+/// (measurements/measure_imbalance.cpp). They are no operator settings;
 /// they stand here so that the measurement can vary them.
 struct placement_policy
 {
