Reducer: Explain an unknown address as such; name the state in one place

Cause: explain said ask_owner for an address that no service has; the state of a VM was three conditions inside one expression. Ruled out: leaving it to the command line, which does not know the services. Change: as the title says, with a test.

--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -63,16 +63,27 @@
     this->handle(now, packet, effects);
 }
 
+serving_state reducer::state() const
+{
+    if (this->handing_over.is_leaving())
+        return serving_state::leaving;
+    switch (this->current_permission)
+    {
+    case placing_permission::allowed:
+        return serving_state::serving;
+    case placing_permission::joining:
+        return serving_state::joining;
+    case placing_permission::view_expired:
+        return serving_state::view_expired;
+    }
+    return serving_state::joining;
+}
+
 reducer_view reducer::view(time_point now) const
 {
     reducer_view seen;
     seen.self = this->settings.self;
-    seen.state = this->handing_over.is_leaving() ? serving_state::leaving
-                 : this->current_permission == placing_permission::allowed
-                     ? serving_state::serving
-                 : this->current_permission == placing_permission::joining
-                     ? serving_state::joining
-                     : serving_state::view_expired;
+    seen.state = this->state();
     seen.pins = this->pin_store.size();
     seen.pin_bytes = this->pin_store.memory_bytes();
     seen.is_reader = this->versions.is_reader();
@@ -106,11 +117,13 @@
         found.rule = routing_rule::own_pin;
         return found;
     }
+    if (target == nullptr)
+        return found;
     if (found.holders.owner != this->settings.self.id)
         found.rule = routing_rule::ask_owner;
     else if (!this->ownership.earlier_holders_of(now, flow).empty())
         found.rule = routing_rule::ask_earlier_holders;
-    else if (target != nullptr)
+    else
         found.rule = routing_rule::place_opening;
     return found;
 }
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -100,6 +100,7 @@
 
     [[nodiscard]] routing_context context();
     [[nodiscard]] placing_permission permission(time_point now) const;
+    [[nodiscard]] serving_state state() const;
     void notice_pause(time_point now, effect_list& out);
     void refresh(time_point now, effect_list& out);
     void join_when_caught_up(time_point now, effect_list& out);
--- a/tests/reducer/reducer_failures_test.cpp
+++ b/tests/reducer/reducer_failures_test.cpp
@@ -538,3 +538,13 @@
     vms.run_for(1s);
     cr_assert_eq(vms.openings().size(), 0U);
 }
+
+Test(reducer, explains_an_address_that_no_service_has)
+{
+    fleet vms = make_fleet();
+    vms.start();
+    endpoint const unknown{ipv4_address(1), 1, transport_protocol::tcp};
+    flow_explanation const found =
+        vms.reducer_of(vm(1)).explain(vms.now(), flow_id(1), unknown);
+    cr_assert(found.rule == routing_rule::unknown_destination);
+}
