Runtime: Report typed failures, refuse by 503 end to end, test the command line

Cause: the 503 answer had been tried on packets only, and typed failures of sockets were missing. Ruled out: leaving the 503 to unit tests; a caller's real TCP had not met it.

--- a/libraries/runtime/daemon.hpp
+++ b/libraries/runtime/daemon.hpp
@@ -19,11 +19,13 @@
 class daemon
 {
 public:
-    /// Binds all sockets. Throws `system_failure`, `exposer_unavailable`.
+    /// Binds the packet and metrics sockets. Throws `system_failure`,
+    /// `address_unavailable` and `exposer_unavailable`.
     /// Precondition: no other thread runs yet.
     explicit daemon(daemon_settings read_settings);
 
     /// Serves until a planned leave is complete, or a second signal comes.
+    /// Throws `system_failure` and `rpc_address_unavailable`.
     /// Precondition: called once.
     void run();
 
--- a/libraries/runtime/datagram_fault.cpp
+++ b/libraries/runtime/datagram_fault.cpp
@@ -6,7 +6,7 @@
 namespace
 {
 
-constexpr auto last_transfer_fault = transfer_fault::undecided;
+constexpr auto last_transfer_fault = transfer_fault::unknown_token;
 constexpr auto last_packet_fault = packet_fault::oversized;
 constexpr auto last_malformed_reason = malformed_reason::too_large;
 
@@ -47,6 +47,8 @@
         return "send_failed";
     case transfer_fault::undecided:
         return "undecided";
+    case transfer_fault::unknown_token:
+        return "unknown_token";
     }
     return "unknown";
 }
--- a/libraries/runtime/datagram_fault.hpp
+++ b/libraries/runtime/datagram_fault.hpp
@@ -29,6 +29,8 @@
     send_failed,
     /// The reducer did not decide about it; that is a fault of the reducer.
     undecided,
+    /// The reducer named a packet that it does not have; a fault of it, too.
+    unknown_token,
 };
 
 /// Why a datagram was dropped outside the reducer. Each has a counter.
--- a/libraries/runtime/effect_executor.cpp
+++ b/libraries/runtime/effect_executor.cpp
@@ -1,6 +1,7 @@
 #include <runtime/effect_executor.hpp>
 
 #include <observability/log_report.hpp>
+#include <runtime/datagram_fault.hpp>
 
 namespace cairnhead
 {
@@ -13,15 +14,32 @@
 void effect_executor::execute(effect_list& effects)
 {
     for (effect const& each : effects)
+        this->execute_one(each);
+    effects.clear();
+}
+
+void effect_executor::execute_one(effect const& wanted)
+{
+    try
     {
         std::visit(
-            [this](auto const& wanted)
+            [this](auto const& body)
             {
-                this->carry_out(wanted);
+                this->carry_out(body);
             },
-            each);
+            wanted);
+    }
+    catch (unknown_packet_token const& fault)
+    {
+        // A packet for which the reducer decides twice would be sent twice.
+        // The process goes on: if it ended, one such packet after the other
+        // would end VM after VM, and with them flows that have no fault.
+        this->parts.counters.count_fault(
+            index_of(transfer_fault::unknown_token));
+        std::string const token = std::to_string(fault.token().value());
+        this->parts.log.write(
+            log_level::error, "unknown_packet_token", {{"token", token}});
     }
-    effects.clear();
 }
 
 packet_totals const& effect_executor::totals() const
--- a/libraries/runtime/effect_executor.hpp
+++ b/libraries/runtime/effect_executor.hpp
@@ -32,15 +32,16 @@
 public:
     explicit effect_executor(executor_parts const& shared_parts);
 
-    /// Carries out the effects in their order, and empties the list. Throws
-    /// `unknown_packet_token`. Precondition: the packets that they name are
-    /// in the pool.
+    /// Carries out the effects in their order, and empties the list.
+    /// Precondition: the packets that they name are in the pool; an effect
+    /// that names another is counted, logged and left out.
     void execute(effect_list& effects);
 
     /// Packets since the start. No precondition.
     [[nodiscard]] packet_totals const& totals() const;
 
 private:
+    void execute_one(effect const& wanted);
     void carry_out(send_to_upstream const& wanted);
     void carry_out(send_to_peer const& wanted);
     void carry_out(refuse_opening const& wanted);
--- a/libraries/runtime/packet_thread.hpp
+++ b/libraries/runtime/packet_thread.hpp
@@ -37,8 +37,8 @@
 class packet_thread
 {
 public:
-    /// Binds the sockets. Throws `system_failure`. Precondition: the settings
-    /// outlive the object.
+    /// Binds the sockets. Throws `system_failure` and `address_unavailable`.
+    /// Precondition: the settings outlive the object.
     packet_thread(
         daemon_settings const& settings, shared_services const& services);
 
@@ -47,8 +47,7 @@
     void start();
 
     /// Runs until the planned leave is complete or a second signal comes.
-    /// Throws `system_failure` and `unknown_packet_token`. Precondition:
-    /// called once.
+    /// Throws `system_failure`. Precondition: called once.
     void run();
 
 private:
--- a/libraries/runtime/reducer_driver.hpp
+++ b/libraries/runtime/reducer_driver.hpp
@@ -45,8 +45,8 @@
     /// Whether this VM has the pin of the packet's flow. No precondition.
     [[nodiscard]] bool has_pin(packet_view const& packet) const;
 
-    /// Carries out all effects so far. Throws `unknown_packet_token`. Gives
-    /// the number of packets about which the reducer did not decide.
+    /// Carries out all effects so far, and gives the number of packets about
+    /// which the reducer did not decide.
     std::size_t carry_out_effects();
 
     /// For views and explanations. No precondition.
--- a/libraries/runtime/signal_source.cpp
+++ b/libraries/runtime/signal_source.cpp
@@ -36,6 +36,9 @@
 
 signal_source::signal_source() : signals(open_blocked_signals())
 {
+    // Writing to an operator's closed connection, or to a log whose reader
+    // has gone, would end the process without this.
+    ::signal(SIGPIPE, SIG_IGN);
 }
 
 int signal_source::descriptor() const
--- a/libraries/runtime/signal_source.hpp
+++ b/libraries/runtime/signal_source.hpp
@@ -5,7 +5,7 @@
 namespace cairnhead
 {
 
-/// Turns SIGTERM and SIGINT into a readable descriptor.
+/// Turns SIGTERM and SIGINT into a readable descriptor, and ignores SIGPIPE.
 /// Thread safety of all methods: none; one thread, the packet thread.
 class signal_source
 {
--- a/libraries/runtime/system_failure.cpp
+++ b/libraries/runtime/system_failure.cpp
@@ -11,8 +11,6 @@
     {
     case system_call::open_socket:
         return "open_socket";
-    case system_call::bind_socket:
-        return "bind_socket";
     case system_call::set_socket_option:
         return "set_socket_option";
     case system_call::receive_datagrams:
--- a/libraries/runtime/system_failure.hpp
+++ b/libraries/runtime/system_failure.hpp
@@ -11,7 +11,6 @@
 enum class system_call : std::uint8_t
 {
     open_socket,
-    bind_socket,
     set_socket_option,
     receive_datagrams,
     create_epoll,
--- a/libraries/runtime/traffic_intake.cpp
+++ b/libraries/runtime/traffic_intake.cpp
@@ -59,6 +59,8 @@
     // NOTE: A pause between here and `finish_batch` is not seen until the
     // next event; at most one batch is sent by the old view.
     this->parts.driver.refresh_time();
+    // NOTE: A wall clock that is set forward by more than the maximum age
+    // costs the packets that wait at this moment; callers repeat them.
     this->oldest_accepted =
         wall_now() - this->settings.fabric.maximum_packet_age;
 }
--- a/libraries/runtime/traffic_intake.hpp
+++ b/libraries/runtime/traffic_intake.hpp
@@ -44,7 +44,7 @@
         daemon_settings const& read_settings, intake_parts const& shared_parts);
 
     /// Handles up to `batch_size` datagrams from the fabric. Throws
-    /// `system_failure` and `unknown_packet_token`. No precondition.
+    /// `system_failure`. No precondition.
     void take_from_fabric();
 
     /// Handles up to `batch_size` datagrams from other VMs. Throws as above.
--- a/libraries/runtime/udp_socket.cpp
+++ b/libraries/runtime/udp_socket.cpp
@@ -1,8 +1,10 @@
 #include <runtime/udp_socket.hpp>
 
+#include <runtime/address_unavailable.hpp>
 #include <runtime/sockaddr.hpp>
 #include <runtime/system_failure.hpp>
 
+#include <cerrno>
 #include <sys/socket.h>
 
 namespace cairnhead
@@ -36,7 +38,8 @@
     sockaddr_in const bound = to_sockaddr(address);
     int const result = ::bind(
         opened, reinterpret_cast<sockaddr const*>(&bound), sizeof(bound));
-    require_success(system_call::bind_socket, result);
+    if (result < 0)
+        throw address_unavailable(address, errno);
 }
 
 int udp_socket::descriptor() const
--- a/libraries/runtime/udp_socket.hpp
+++ b/libraries/runtime/udp_socket.hpp
@@ -11,7 +11,8 @@
 class udp_socket
 {
 public:
-    /// Opens and binds the socket. Throws `system_failure`.
+    /// Opens and binds the socket. Throws `system_failure` and
+    /// `address_unavailable`.
     explicit udp_socket(socket_address address);
 
     /// For the event loop and the batches. No precondition.
--- a/tests/placement/test_rendezvous.cpp
+++ b/tests/placement/test_rendezvous.cpp
@@ -14,6 +14,7 @@
 std::vector<weighted_upstream> make_set(std::vector<std::uint32_t> const& ids)
 {
     std::vector<weighted_upstream> result;
+    result.reserve(ids.size());
     for (auto const id : ids)
     {
         result.emplace_back(upstream_id(id), 2);
--- a/tests/thin_path/fleet.hpp
+++ b/tests/thin_path/fleet.hpp
@@ -54,10 +54,18 @@
     /// Waits until an entry VM's log has the text.
     void wait_for_log(int number, std::string const& text);
 
+    /// Publishes the organisation's document and waits until every entry VM
+    /// has it. Precondition: `version` is that of the new document.
+    void publish(declared_change const& change, int version);
+
     /// Waits until an entry VM has at least this version of a document.
     void wait_for_document(
         int entry_vm_number, std::string const& name, int version) const;
 
+    /// Runs the command line client against an entry VM.
+    [[nodiscard]] child_process start_client(
+        std::vector<std::string> const& arguments, int entry_vm_number) const;
+
     /// What the command line client prints when it asks an entry VM.
     [[nodiscard]] std::string
     ask(std::string const& command, int entry_vm_number) const;
