--- a/libraries/event/effect.hpp
+++ b/libraries/event/effect.hpp
@@ -4,6 +4,7 @@
 #include <model/service.hpp>
 #include <protocol/control_message.hpp>
 #include <protocol/peer_frame.hpp>
+#include <registry/tag.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -53,6 +54,14 @@
     upstream_id upstream;
 };
 
+/// Send a packet that carries a tag to an upstream, with this tag.
+struct send_tagged
+{
+    packet_token token;
+    tagged_target target;
+    upstream_tag tag;
+};
+
 /// Hand the packet to another VM.
 struct send_to_peer
 {
@@ -162,6 +171,7 @@
 
 using effect = std::variant<
     send_to_upstream,
+    send_tagged,
     send_to_peer,
     refuse_opening,
     drop_packet,
--- a/libraries/event/event.hpp
+++ b/libraries/event/event.hpp
@@ -3,6 +3,7 @@
 #include <base/time.hpp>
 #include <protocol/control_message.hpp>
 #include <protocol/peer_frame.hpp>
+#include <registry/tag.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -40,6 +41,8 @@
     packet_phase phase = packet_phase::ongoing;
     packet_token token;
     std::optional<peer_frame> frame;
+    /// Absent where the fabric's packets carry no tags. Zero in an opening.
+    std::optional<upstream_tag> tag{};
 };
 
 /// An authenticated control message arrived.
--- a/libraries/event/settings.hpp
+++ b/libraries/event/settings.hpp
@@ -118,6 +118,30 @@
     std::uint32_t maximum_organisation_percent = 60;
 };
 
+struct tagging_settings
+{
+    /// An upstream that left the registry is known by its tag for this long:
+    /// its flows may live on.
+    duration upstream_retention = 90s;
+    /// An upstream that left the registry without draining may still live, as
+    /// the registry loses entries while it is down. It takes new flows for
+    /// this long when nothing else is left.
+    duration missing_grace = 2s;
+    /// An opening that the caller repeats after this was not answered, and
+    /// moves to another upstream.
+    duration answer_timeout = 120ms;
+    /// How long an upstream that left an opening unanswered is avoided;
+    /// doubles with each one up to the maximum.
+    duration avoidance_minimum = 1s;
+    duration avoidance_maximum = 8s;
+    /// Flows that were silent for longer count no more as load.
+    duration idle_timeout = 15s;
+    /// Share of a cold upstream, percent.
+    std::uint32_t cold_share_percent = 60;
+    /// More flows than these are routed, but not remembered.
+    std::uint32_t maximum_flows = 450'000;
+};
+
 /// Who this VM is. Comes from its settings file.
 struct vm_identity
 {
@@ -139,6 +163,7 @@
     version_settings versions;
     placement_settings placement;
     admission_settings admission;
+    tagging_settings tagging;
 };
 
 } // namespace cairnhead
--- a/libraries/packet/packet_view.hpp
+++ b/libraries/packet/packet_view.hpp
@@ -2,6 +2,7 @@
 
 #include <base/identifiers.hpp>
 #include <event/event.hpp>
+#include <registry/tag.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -46,6 +47,8 @@
     std::uint32_t tcp_sequence = 0;
     std::uint32_t tcp_acknowledgement = 0;
     std::uint8_t tcp_flags = 0;
+    /// Absent where the fabric's packets carry no tags.
+    std::optional<upstream_tag> tag{};
     /// Transport payload.
     std::span<std::uint8_t const> payload;
     std::span<std::uint8_t const> bytes;
--- a/libraries/platform/platform_call.cpp
+++ b/libraries/publication/platform_call.cpp
@@ -1,6 +1,6 @@
-#include <platform/platform_call.hpp>
+#include <publication/platform_call.hpp>
 
-#include <platform/platform_protocol.hpp>
+#include <publication/platform_protocol.hpp>
 
 #include <utility>
 
--- a/libraries/platform/platform_call.hpp
+++ b/libraries/publication/platform_call.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <event/event.hpp>
-#include <platform/platform_failure.hpp>
+#include <publication/platform_failure.hpp>
 
 #include <curl/curl.h>
 #include <memory>
--- a/libraries/platform/platform_client.cpp
+++ b/libraries/publication/platform_client.cpp
@@ -1,4 +1,4 @@
-#include <platform/platform_client.hpp>
+#include <publication/platform_client.hpp>
 
 #include <utility>
 
--- a/libraries/platform/platform_client.hpp
+++ b/libraries/publication/platform_client.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <platform/platform_call.hpp>
+#include <publication/platform_call.hpp>
 
 #include <array>
 #include <atomic>
--- a/libraries/platform/platform_failure.cpp
+++ b/libraries/publication/platform_failure.cpp
@@ -1,4 +1,4 @@
-#include <platform/platform_failure.hpp>
+#include <publication/platform_failure.hpp>
 
 namespace cairnhead
 {
--- a/libraries/platform/platform_protocol.cpp
+++ b/libraries/publication/platform_protocol.cpp
@@ -1,4 +1,4 @@
-#include <platform/platform_protocol.hpp>
+#include <publication/platform_protocol.hpp>
 
 #include <base/ipv4.hpp>
 
--- a/libraries/platform/platform_protocol.hpp
+++ b/libraries/publication/platform_protocol.hpp
@@ -3,7 +3,7 @@
 #include <base/identifiers.hpp>
 #include <base/time.hpp>
 #include <event/event.hpp>
-#include <platform/platform_failure.hpp>
+#include <publication/platform_failure.hpp>
 
 #include <optional>
 #include <string>
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -38,6 +38,7 @@
           seed_for(this->settings, "placement")),
       admitter(this->settings.admission, this->settings.pins.maximum_pins),
       handing_over(this->settings.handover, this->settings.pins),
+      tagged(this->settings.tagging, seed_for(this->settings, "tagging")),
       declarations(this->versions.current())
 {
 }
@@ -128,6 +129,14 @@
     return found;
 }
 
+bool reducer::is_ready() const
+{
+    if (this->handing_over.is_leaving())
+        return false;
+    return this->tagged.is_informed() ||
+           this->state() == serving_state::serving;
+}
+
 version_store const& reducer::documents() const
 {
     return this->versions;
@@ -141,6 +150,8 @@
 void reducer::handle(
     time_point now, packet_arrived const& body, effect_list& out)
 {
+    if (body.tag.has_value())
+        return this->tagged.route(now, body, out);
     routing_context const parts = this->context();
     flow_router(now, this->settings.pins, parts, body, out).route();
 }
@@ -162,6 +173,7 @@
 void reducer::handle(time_point now, tick const&, effect_list& out)
 {
     this->versions.tick(now, out);
+    this->tagged.tick(now);
     if (!this->has_joined)
         return;
     this->members.tick(now, this->versions.digest(), out);
@@ -438,6 +450,10 @@
 
 void reducer::apply_document_changes(time_point now)
 {
+    // These need no joining: they are complete from the first listing on, and
+    // a VM that waited for its peers would refuse callers for that long.
+    this->tagged.set_listings(
+        now, this->versions.routes(), this->versions.upstreams());
     // Placement takes upstreams that it did not know before for cold. What a
     // joiner learns while it catches up was there before it: taking those for
     // cold made `prefer: continuity` place by load alone for half a minute.
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -11,6 +11,7 @@
 #include <reducer/flow_router.hpp>
 #include <reducer/handover.hpp>
 #include <reducer/reducer_view.hpp>
+#include <tagging/tag_router.hpp>
 #include <versions/version_store.hpp>
 
 #include <memory>
@@ -49,6 +50,10 @@
     /// The declarations in force, with what peers may fetch.
     [[nodiscard]] version_store const& documents() const;
 
+    /// Whether callers may be sent to this VM: it knows the declarations, and
+    /// it is not about to leave. Precondition: started.
+    [[nodiscard]] bool is_ready() const;
+
     /// The pins, for measurements and views.
     [[nodiscard]] pin_table const& pins() const;
 
@@ -120,6 +125,7 @@
     admission admitter;
     prediction_gate predictions;
     handover handing_over;
+    tag_router tagged;
     std::shared_ptr<directory const> declarations;
 
     std::uint64_t applied_membership = ~std::uint64_t(0);
--- /dev/null
+++ b/libraries/registry/registry.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <base/identifiers.hpp>
+#include <base/time.hpp>
+#include <model/service.hpp>
+
+#include <cstdint>
+#include <exception>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// What a registry publishes where upstreams register themselves: which
+/// upstreams run, and which services they serve. It takes the place of
+/// organisations' documents. Like those, both listings are documents with
+/// versions that only go up, and spread between VMs.
+namespace cairnhead
+{
+
+/// Names of the two documents.
+inline constexpr std::string_view route_document_name = "registry/routes";
+inline constexpr std::string_view upstream_document_name = "registry/upstreams";
+
+/// One run of one upstream: each start has a new number, so that an address
+/// that is used again is never taken for the upstream that had it before.
+using instance_number = strong_value<struct instance_number_tag, std::uint64_t>;
+
+/// One upstream as it registered itself.
+struct registered_upstream
+{
+    instance_number instance;
+    /// Where it receives packets.
+    ipv4_address address;
+    std::uint16_t port = 0;
+    /// It takes no new flows and keeps those it has.
+    bool is_draining = false;
+    /// Requests that it works on at the same time.
+    std::uint32_t slots = 1;
+    /// How much longer it is slow after its start, when it was registered.
+    std::uint32_t cold_milliseconds = 0;
+    /// The upstreams that serve the same.
+    std::string pool;
+    std::string failure_domain;
+
+    bool operator==(registered_upstream const&) const = default;
+};
+
+/// All upstreams that are registered, sorted by instance.
+struct upstream_listing
+{
+    std::vector<registered_upstream> upstreams;
+
+    bool operator==(upstream_listing const&) const = default;
+};
+
+/// A pool and its share of a route's new flows.
+struct weighted_pool
+{
+    std::string pool;
+    std::uint32_t weight = 1;
+
+    bool operator==(weighted_pool const&) const = default;
+};
+
+/// Where callers reach a service, and which pools serve it.
+struct published_route
+{
+    ipv4_address address;
+    std::uint16_t port = 0;
+    flow_class traffic = flow_class::form;
+    bool is_idempotent = false;
+    std::vector<weighted_pool> pools;
+
+    bool operator==(published_route const&) const = default;
+};
+
+/// All routes, sorted by address and port.
+struct route_listing
+{
+    std::vector<published_route> routes;
+    /// A flow that was idle for longer may be forgotten.
+    duration idle_timeout = std::chrono::seconds(15);
+
+    bool operator==(route_listing const&) const = default;
+};
+
+/// Thrown for the text of a registry's document that cannot be read.
+class registry_rejected : public std::exception
+{
+public:
+    [[nodiscard]] char const* what() const noexcept override;
+};
+
+/// The text of the document. No precondition. Thread safety: no shared state.
+[[nodiscard]] std::string encode_listing(upstream_listing const& listing);
+[[nodiscard]] std::string encode_listing(route_listing const& listing);
+
+/// Reads a text. Throws `registry_rejected`. Thread safety: no shared state.
+[[nodiscard]] upstream_listing decode_upstreams(std::string_view text);
+[[nodiscard]] route_listing decode_routes(std::string_view text);
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/registry/tag.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <base/identifiers.hpp>
+#include <registry/registry.hpp>
+
+#include <cstdint>
+
+/// Flows whose packets carry a tag. The upstream's answers carry the tag of
+/// the packets that reached it, and the caller's packets carry the tag of the
+/// latest answer. So each packet but the opening itself names the upstream of
+/// its flow, and any VM that knows the upstreams can pass it on without
+/// knowing the flow.
+namespace cairnhead
+{
+
+/// Names an upstream in packets; zero stands for no upstream. All VMs derive
+/// it from the instance's number alone.
+using upstream_tag = strong_value<struct upstream_tag_tag, std::uint32_t>;
+
+/// No precondition. Thread safety: no shared state.
+[[nodiscard]] constexpr upstream_tag tag_of(instance_number instance)
+{
+    auto const low = static_cast<std::uint32_t>(instance.value());
+    return upstream_tag(low == 0 ? 1 : low);
+}
+
+/// Where a tagged packet is to go.
+struct tagged_target
+{
+    ipv4_address address;
+    std::uint16_t port = 0;
+    /// The upstream that is meant; another one at this address takes nothing.
+    instance_number instance;
+
+    bool operator==(tagged_target const&) const = default;
+};
+
+} // namespace cairnhead
--- a/libraries/runtime/daemon.cpp
+++ b/libraries/runtime/daemon.cpp
@@ -1,5 +1,6 @@
 #include <runtime/daemon.hpp>
 
+#include <runtime/readiness_server.hpp>
 #include <runtime/request_server.hpp>
 
 #include <base/ipv4.hpp>
@@ -48,7 +49,7 @@
       packets(
           this->settings,
           {this->keys, this->signals, this->arrivals, this->views, this->calls,
-           this->measured, this->log})
+           this->measured, this->log, this->is_ready})
 {
 }
 
@@ -61,6 +62,8 @@
     this->packets.start();
     request_server const server(
         {this->settings, this->keys, this->views, this->arrivals});
+    readiness_server const readiness(
+        own_address(this->settings), this->settings.readiness, this->is_ready);
     this->packets.run();
     this->log.write(log_level::info, "ended", {{"vm", vm}});
 }
--- a/libraries/runtime/daemon.hpp
+++ b/libraries/runtime/daemon.hpp
@@ -11,6 +11,8 @@
 #include <settings/settings.hpp>
 #include <wire/authenticator.hpp>
 
+#include <atomic>
+
 namespace cairnhead
 {
 
@@ -40,6 +42,8 @@
     inbox arrivals;
     view_board views;
     remote_calls calls;
+    /// Whether callers may be sent to this VM.
+    std::atomic<bool> is_ready = false;
     packet_thread packets;
 };
 
--- a/libraries/runtime/effect_executor.cpp
+++ b/libraries/runtime/effect_executor.cpp
@@ -54,6 +54,13 @@
     ++this->counted.to_upstream;
 }
 
+void effect_executor::carry_out(send_tagged const& wanted)
+{
+    packet_view const packet = this->parts.packets.take(wanted.token);
+    this->parts.sender.send_tagged_packet(packet, wanted.target, wanted.tag);
+    ++this->counted.to_upstream;
+}
+
 void effect_executor::carry_out(send_to_peer const& wanted)
 {
     packet_view const packet = this->parts.packets.take(wanted.token);
--- a/libraries/runtime/effect_executor.hpp
+++ b/libraries/runtime/effect_executor.hpp
@@ -43,6 +43,7 @@
 private:
     void execute_one(effect const& wanted);
     void carry_out(send_to_upstream const& wanted);
+    void carry_out(send_tagged const& wanted);
     void carry_out(send_to_peer const& wanted);
     void carry_out(refuse_opening const& wanted);
     void carry_out(drop_packet const& wanted);
--- a/libraries/runtime/packet_ingest.hpp
+++ b/libraries/runtime/packet_ingest.hpp
@@ -25,6 +25,11 @@
     read(received_datagram const& datagram, wall_time oldest_accepted) const;
 
 private:
+    [[nodiscard]] bool is_from_fabric(ipv4_address source) const;
+    [[nodiscard]] packet_result
+    read_content(std::span<std::uint8_t const> bytes) const;
+
+    fabric_encapsulation form;
     absl::flat_hash_set<ipv4_address> sources;
 };
 
--- a/libraries/runtime/packet_sender.cpp
+++ b/libraries/runtime/packet_sender.cpp
@@ -1,5 +1,7 @@
 #include <runtime/packet_sender.hpp>
 
+#include <platform/tagged_datagram.hpp>
+
 #include <runtime/datagram_fault.hpp>
 
 namespace cairnhead
@@ -26,6 +28,24 @@
     this->counters.count_sent_to_upstream();
 }
 
+void packet_sender::send_tagged_packet(
+    packet_view const& packet, tagged_target const& target, upstream_tag tag)
+{
+    this->make_room(this->to_fabric, this->sockets.fabric);
+    write_tagged_datagram(
+        packet.bytes, target.instance, tag, this->to_fabric.next_buffer());
+    this->to_fabric.add_written({target.address, target.port});
+    this->counters.count_sent_to_upstream();
+}
+
+void packet_sender::reset_tagged(packet_view const& opening)
+{
+    this->make_room(this->to_fabric, this->sockets.fabric);
+    write_tagged_reset(opening, this->to_fabric.next_buffer());
+    this->to_fabric.add_written(
+        {opening.source.address, this->settings.fabric.caller_port});
+}
+
 void packet_sender::send_to_peer(
     packet_view const& packet, vm_id target, peer_frame const& frame)
 {
--- a/libraries/runtime/packet_sender.hpp
+++ b/libraries/runtime/packet_sender.hpp
@@ -37,6 +37,17 @@
     /// Precondition: the packet's bytes stay in place until `flush`.
     void send_to_upstream(packet_view const& packet, upstream_id upstream);
 
+    /// Sends a caller's packet that carries a tag to an upstream.
+    /// Precondition: the packet's bytes stay in place until the call returns.
+    void send_tagged_packet(
+        packet_view const& packet,
+        tagged_target const& target,
+        upstream_tag tag);
+
+    /// Ends a caller's opening that carries a tag. Precondition: it was not
+    /// sent to any upstream, or none answered it.
+    void reset_tagged(packet_view const& opening);
+
     /// Hands a caller's packet to another VM. No precondition.
     void send_to_peer(
         packet_view const& packet, vm_id target, peer_frame const& frame);
--- a/libraries/runtime/packet_thread.cpp
+++ b/libraries/runtime/packet_thread.cpp
@@ -166,6 +166,7 @@
     // No packet came with these events, so none is left undecided.
     static_cast<void>(this->driver.carry_out_effects());
     this->sender.flush();
+    this->shared.is_ready = this->driver.state().is_ready();
 }
 
 void packet_thread::publish_view()
--- a/libraries/runtime/packet_thread.hpp
+++ b/libraries/runtime/packet_thread.hpp
@@ -16,6 +16,8 @@
 #include <runtime/traffic_intake.hpp>
 #include <runtime/view_board.hpp>
 
+#include <atomic>
+
 namespace cairnhead
 {
 
@@ -29,6 +31,7 @@
     remote_calls& calls;
     metrics& measured;
     logger& log;
+    std::atomic<bool>& is_ready;
 };
 
 /// The thread that owns the reducer: waits for packets, timers, signals and
--- a/libraries/runtime/reducer_driver.cpp
+++ b/libraries/runtime/reducer_driver.cpp
@@ -33,6 +33,7 @@
     arrived.phase = packet.phase;
     arrived.token = this->packets.hold(packet);
     arrived.frame = frame;
+    arrived.tag = packet.tag;
     this->decider.apply(this->current_time, arrived, this->made);
 }
 
--- a/libraries/runtime/refuser.cpp
+++ b/libraries/runtime/refuser.cpp
@@ -31,6 +31,8 @@
 
 void refuser::refuse(packet_view const& opening, refuse_opening const& refusal)
 {
+    if (opening.tag.has_value())
+        return this->sender.reset_tagged(opening);
     if (opening.destination.protocol == transport_protocol::udp)
         return this->sender.send_to_caller(make_icmp_prohibited(opening));
     if (refusal.style == refusal_style::http_503)
--- a/libraries/runtime/remote_calls.cpp
+++ b/libraries/runtime/remote_calls.cpp
@@ -15,6 +15,10 @@
     results.post(std::move(std::get<failed_fetch>(result).event));
 }
 
+/// Both clients have the same events.
+static_assert(
+    std::is_same_v<platform_event, metadata_store_client::event_type>);
+
 platform_client::event_handler post_platform_events(inbox& results)
 {
     return [&results](platform_event event)
@@ -48,7 +52,7 @@
 
 remote_calls::remote_calls(
     daemon_settings const& settings, authenticator const& keys, inbox& results)
-    : platform(settings.platform_url, post_platform_events(results)),
+    : platform(make_publisher(settings, results)),
       peers(
           {settings.peers.document_port,
            settings.reducer.versions.fetch_timeout},
@@ -58,16 +62,42 @@
 {
 }
 
+remote_calls::publisher
+remote_calls::make_publisher(daemon_settings const& settings, inbox& results)
+{
+    std::string const& url = settings.platform_url;
+    switch (settings.publishes)
+    {
+    case platform_protocol::documents:
+        return std::make_unique<platform_client>(
+            url, post_platform_events(results));
+    case platform_protocol::metadata_store:
+        return std::make_unique<metadata_store_client>(
+            url, post_platform_events(results));
+    }
+    return {};
+}
+
 void remote_calls::start(watch_platform const& wanted)
 {
-    this->platform.watch(wanted.after, wanted.wait);
+    std::visit(
+        [&wanted](auto const& client)
+        {
+            client->watch(wanted.after, wanted.wait);
+        },
+        this->platform);
 }
 
 void remote_calls::start(fetch_document const& wanted)
 {
     if (wanted.source.has_value())
         return this->peers.fetch(wanted);
-    this->platform.fetch(wanted.name);
+    std::visit(
+        [&wanted](auto const& client)
+        {
+            client->fetch(wanted.name);
+        },
+        this->platform);
 }
 
 void remote_calls::start(probe_upstream const& wanted)
--- a/libraries/runtime/remote_calls.hpp
+++ b/libraries/runtime/remote_calls.hpp
@@ -2,11 +2,15 @@
 
 #include <control/document_client.hpp>
 #include <event/effect.hpp>
-#include <platform/platform_client.hpp>
+#include <platform/metadata_store_client.hpp>
+#include <publication/platform_client.hpp>
 #include <runtime/health_prober.hpp>
 #include <runtime/inbox.hpp>
 #include <settings/settings.hpp>
 
+#include <memory>
+#include <variant>
+
 namespace cairnhead
 {
 
@@ -29,7 +33,15 @@
     void start(probe_upstream const& wanted);
 
 private:
-    platform_client platform;
+    /// Whoever speaks the protocol that the settings name.
+    using publisher = std::variant<
+        std::unique_ptr<platform_client>,
+        std::unique_ptr<metadata_store_client>>;
+
+    static publisher
+    make_publisher(daemon_settings const& settings, inbox& results);
+
+    publisher platform;
     document_client peers;
     health_prober prober;
 };
--- a/libraries/runtime/traffic_intake.cpp
+++ b/libraries/runtime/traffic_intake.cpp
@@ -87,7 +87,7 @@
 
 void traffic_intake::take(received_datagram const&, packet_view const& packet)
 {
-    if (this->is_of_refused_flow(packet))
+    if (!packet.tag.has_value() && this->is_of_refused_flow(packet))
         return this->parts.refusals.continue_refusal(packet);
     this->parts.driver.route(packet, std::nullopt);
 }
--- a/libraries/settings/section_fields.hpp
+++ b/libraries/settings/section_fields.hpp
@@ -269,4 +269,42 @@
     }};
 };
 
+template <>
+struct section_rules<tagging_settings>
+{
+    using section = tagging_settings;
+    using durations = duration_field<section>;
+    using numbers = number_field<section>;
+
+    static constexpr std::array<section_field<section>, 8> fields = {{
+        durations{
+            "upstream_retention", &section::upstream_retention,
+            shortest_duration, longest_lifetime},
+        durations{
+            "missing_grace", &section::missing_grace, shortest_duration,
+            longest_timeout},
+        durations{
+            "answer_timeout", &section::answer_timeout, shortest_duration,
+            longest_timeout},
+        durations{
+            "avoidance_minimum", &section::avoidance_minimum, shortest_duration,
+            longest_timeout},
+        durations{
+            "avoidance_maximum", &section::avoidance_maximum, shortest_duration,
+            longest_timeout},
+        durations{
+            "idle_timeout", &section::idle_timeout, shortest_duration,
+            longest_lifetime},
+        numbers{
+            "cold_share_percent", &section::cold_share_percent, 1,
+            hundred_percent},
+        numbers{"maximum_flows", &section::maximum_flows, 1, any_number},
+    }};
+
+    static constexpr std::array<ordered_durations<section>, 1> orders = {{
+        {"avoidance_minimum", &section::avoidance_minimum, ordering::at_most,
+         &section::avoidance_maximum},
+    }};
+};
+
 } // namespace cairnhead
--- a/libraries/settings/settings.cpp
+++ b/libraries/settings/settings.cpp
@@ -70,11 +70,11 @@
 public:
     [[nodiscard]] daemon_settings read(yaml_value const& root)
     {
-        constexpr std::array<std::string_view, 16> keys = {
-            "vm",       "fabric",     "upstreams", "peers",
-            "flow_key", "platform",   "control",   "metrics",
-            "logging",  "membership", "ownership", "pins",
-            "handover", "versions",   "placement", "admission"};
+        constexpr std::array<std::string_view, 18> keys = {
+            "vm",        "fabric",    "upstreams", "peers",    "flow_key",
+            "platform",  "control",   "metrics",   "logging",  "membership",
+            "ownership", "pins",      "handover",  "versions", "placement",
+            "admission", "readiness", "tagging"};
         settings_mapping const file(root, {}, keys, this->errors);
         this->read_vm(file);
         this->read_fabric(file);
@@ -82,6 +82,7 @@
         read_secret(file, "flow_key", this->result.flow_key, this->errors);
         this->read_platform(file);
         this->read_listeners(file);
+        this->read_readiness(file);
         this->read_logging(file);
         this->read_reducer_sections(file);
         this->check_ports(file);
@@ -144,9 +145,34 @@
         yaml_value const* const value = file.require("fabric");
         if (value == nullptr)
             return;
-        constexpr std::array<std::string_view, 4> keys = {
-            "listen_port", "sources", "return", "maximum_packet_age"};
+        constexpr std::array<std::string_view, 6> keys = {
+            "listen_port", "sources",       "return",
+            "listen",      "encapsulation", "maximum_packet_age"};
         settings_mapping const mapping(*value, "fabric", keys, this->errors);
+        fabric_settings& fabric = this->result.fabric;
+        this->read_encapsulation(mapping);
+        if (fabric.encapsulation == fabric_encapsulation::gue)
+            this->read_gue_fabric(mapping);
+        else
+            this->read_tagged_fabric(mapping);
+        duration_range const range{shortest_duration, longest_packet_age};
+        fabric.maximum_packet_age =
+            read_duration(mapping, "maximum_packet_age", range, this->errors)
+                .value_or(fabric.maximum_packet_age);
+    }
+
+    void read_encapsulation(settings_mapping const& mapping)
+    {
+        std::string const* const name = mapping.find_scalar("encapsulation");
+        if (name == nullptr || *name == "gue")
+            return;
+        if (*name != "tagged")
+            this->add(kind::out_of_range, mapping, "encapsulation");
+        this->result.fabric.encapsulation = fabric_encapsulation::tagged;
+    }
+
+    void read_gue_fabric(settings_mapping const& mapping)
+    {
         fabric_settings& fabric = this->result.fabric;
         read_port(
             mapping, "listen_port", port_rule::required, fabric.listen_port,
@@ -155,10 +181,65 @@
         if (mapping.find("sources") != nullptr && fabric.sources.empty())
             this->add(kind::out_of_range, mapping, "sources");
         this->read_return_path(mapping);
-        duration_range const range{shortest_duration, longest_packet_age};
-        fabric.maximum_packet_age =
-            read_duration(mapping, "maximum_packet_age", range, this->errors)
-                .value_or(fabric.maximum_packet_age);
+    }
+
+    /// Callers get their packets at the port at which this VM gets theirs.
+    void read_tagged_fabric(settings_mapping const& mapping)
+    {
+        fabric_settings& fabric = this->result.fabric;
+        if (mapping.find("sources") != nullptr)
+            fabric.sources = this->read_addresses(mapping, "sources");
+        fabric.listen_port = this->read_own_socket(mapping, "listen").port;
+        fabric.caller_port = fabric.listen_port;
+    }
+
+    /// Reads `10.1.0.10:8172`, whose address must be this VM's own.
+    [[nodiscard]] socket_address
+    read_own_socket(settings_mapping const& mapping, std::string_view key)
+    {
+        std::string const* const text = mapping.require_scalar(key);
+        if (text == nullptr)
+            return {};
+        socket_address const read = this->read_socket(mapping, key, *text);
+        vm_id const self = this->result.reducer.self.id;
+        if (vm_id(read.address.value()) != self)
+            this->add(kind::conflicting_values, mapping, key);
+        return read;
+    }
+
+    /// Reads `10.1.0.10:8172`.
+    [[nodiscard]] socket_address read_socket(
+        settings_mapping const& mapping,
+        std::string_view key,
+        std::string_view whole)
+    {
+        std::size_t const colon = std::min(whole.find(':'), whole.size());
+        yaml_value const host{
+            mapping.place_of(key), std::string(whole.substr(0, colon))};
+        std::optional<ipv4_address> const address =
+            read_address(host, mapping.path_of(key), this->errors);
+        std::string_view const digits =
+            whole.substr(std::min(colon + 1, whole.size()));
+        std::uint64_t const port = parse_decimal(digits).value_or(0);
+        if (port == 0 || port > std::numeric_limits<std::uint16_t>::max())
+            this->add(kind::bad_port, mapping, key);
+        return {
+            address.value_or(ipv4_address()), static_cast<std::uint16_t>(port)};
+    }
+
+    void read_readiness(settings_mapping const& file)
+    {
+        yaml_value const* const value = file.find("readiness");
+        if (value == nullptr)
+            return;
+        constexpr std::array<std::string_view, 2> keys = {"listen", "path"};
+        settings_mapping const mapping(*value, "readiness", keys, this->errors);
+        readiness_settings& readiness = this->result.readiness;
+        readiness.port = this->read_own_socket(mapping, "listen").port;
+        if (std::string const* const path = mapping.find_scalar("path"))
+            readiness.path = *path;
+        if (!readiness.path.starts_with('/'))
+            this->add(kind::bad_url, mapping, "path");
     }
 
     [[nodiscard]] std::vector<ipv4_address>
@@ -185,19 +266,8 @@
         std::string const* const text = mapping.require_scalar("return");
         if (text == nullptr)
             return;
-        std::string_view const whole = *text;
-        std::size_t const colon = std::min(whole.find(':'), whole.size());
-        yaml_value const host{
-            mapping.place_of("return"), std::string(whole.substr(0, colon))};
-        std::optional<ipv4_address> const address =
-            read_address(host, "fabric.return", this->errors);
-        std::string_view const digits =
-            whole.substr(std::min(colon + 1, whole.size()));
-        std::uint64_t const port = parse_decimal(digits).value_or(0);
-        if (port == 0 || port > std::numeric_limits<std::uint16_t>::max())
-            this->add(kind::bad_port, mapping, "return");
-        this->result.fabric.return_path = {
-            address.value_or(ipv4_address()), static_cast<std::uint16_t>(port)};
+        this->result.fabric.return_path =
+            this->read_socket(mapping, "return", *text);
     }
 
     void read_peers(settings_mapping const& file)
@@ -214,11 +284,32 @@
         read_port(
             mapping, "document_port", port_rule::required, peers.document_port,
             this->errors);
-        for (ipv4_address address : this->read_addresses(mapping, "seeds"))
-            this->result.reducer.seeds.emplace_back(address.value());
+        this->read_seeds(mapping);
         this->read_keys(mapping);
     }
 
+    /// A seed may stand with a port, as other programs name it; peers are
+    /// reached at their common port all the same.
+    void read_seeds(settings_mapping const& mapping)
+    {
+        yaml_value const* const list = mapping.require("seeds");
+        if (list == nullptr)
+            return;
+        std::string const path = mapping.path_of("seeds");
+        for (yaml_value const& item : read_sequence(*list, path, this->errors))
+        {
+            std::string const* const text =
+                read_scalar(item, path, this->errors);
+            if (text == nullptr)
+                continue;
+            yaml_value const host{item.place, text->substr(0, text->find(':'))};
+            std::optional<ipv4_address> const address =
+                read_address(host, path, this->errors);
+            if (address.has_value())
+                this->result.reducer.seeds.emplace_back(address->value());
+        }
+    }
+
     void read_keys(settings_mapping const& mapping)
     {
         yaml_value const* const list = mapping.require("keys");
@@ -263,8 +354,9 @@
         yaml_value const* const value = file.require("platform");
         if (value == nullptr)
             return;
-        constexpr std::array<std::string_view, 1> keys = {"url"};
+        constexpr std::array<std::string_view, 2> keys = {"url", "protocol"};
         settings_mapping const mapping(*value, "platform", keys, this->errors);
+        this->read_protocol(mapping);
         std::string const* const url = mapping.require_scalar("url");
         if (url == nullptr)
             return;
@@ -273,6 +365,16 @@
         this->result.platform_url = *url;
     }
 
+    void read_protocol(settings_mapping const& mapping)
+    {
+        std::string const* const name = mapping.find_scalar("protocol");
+        if (name == nullptr || *name == "documents")
+            return;
+        if (*name != "metadata_store")
+            this->add(kind::out_of_range, mapping, "protocol");
+        this->result.publishes = platform_protocol::metadata_store;
+    }
+
     /// Whether the text is a scheme and a host at least, without spaces or
     /// control characters that could end up in a request line.
     [[nodiscard]] static bool is_platform_url(std::string_view text)
@@ -346,6 +448,7 @@
         read_section(file, "versions", reducer.versions, this->errors);
         read_section(file, "placement", reducer.placement, this->errors);
         read_section(file, "admission", reducer.admission, this->errors);
+        read_section(file, "tagging", reducer.tagging, this->errors);
     }
 
     /// Two listeners on one port cannot both start; that should be told
@@ -360,6 +463,8 @@
         this->claim_port(file, "control", read.control_port, listeners);
         if (read.metrics_port != 0)
             this->claim_port(file, "metrics", read.metrics_port, listeners);
+        if (read.readiness.port != 0)
+            this->claim_port(file, "readiness", read.readiness.port, listeners);
     }
 
     void claim_port(
--- a/libraries/settings/settings.hpp
+++ b/libraries/settings/settings.hpp
@@ -30,13 +30,35 @@
     std::array<std::uint8_t, 32> secret{};
 };
 
+/// How callers' packets are wrapped between the fabric, VMs and upstreams.
+enum class fabric_encapsulation : std::uint8_t
+{
+    /// GUE variant 0 over IPv4 packets.
+    gue,
+    /// Datagrams that carry a tag; see platform/tagged_datagram.hpp.
+    tagged,
+};
+
+/// How the platform publishes declarations.
+enum class platform_protocol : std::uint8_t
+{
+    /// Documents of organisations with versions.
+    documents,
+    /// A metadata store with a registry of upstreams.
+    metadata_store,
+};
+
 /// The fabric's side: where callers' packets come from and go to.
 struct fabric_settings
 {
     /// UDP port on the own address for encapsulated packets (GUE: 6080).
     std::uint16_t listen_port = 6080;
     /// Packets from other addresses are dropped and counted.
+    /// Empty only with tagged datagrams: then any address is taken.
     std::vector<ipv4_address> sources;
+    fabric_encapsulation encapsulation = fabric_encapsulation::gue;
+    /// With tagged datagrams: UDP port on callers' addresses for refusals.
+    std::uint16_t caller_port = 0;
     /// Where packets bound for callers (refusals) are sent.
     socket_address return_path;
     /// A packet that waited longer than this in the socket is dropped: the
@@ -54,6 +76,14 @@
     std::vector<peer_key> keys;
 };
 
+struct readiness_settings
+{
+    /// TCP port on the own address; zero turns it off.
+    std::uint16_t port = 0;
+    /// Path that answers 200 or 503.
+    std::string path = "/ready";
+};
+
 struct logging_settings
 {
     /// `debug`, `info`, `warning` or `error`.
@@ -75,6 +105,9 @@
     std::array<std::uint8_t, 16> flow_key{};
     /// Base URL of the platform, `http://127.0.0.1:8500`.
     std::string platform_url;
+    platform_protocol publishes = platform_protocol::documents;
+    /// Where the fabric asks whether callers may be sent to this VM.
+    readiness_settings readiness;
     /// TCP port on the own address for the command line client.
     std::uint16_t control_port = 6084;
     /// TCP port on the own address for metrics; zero turns them off.
--- /dev/null
+++ b/libraries/tagging/tag_router.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <event/effect.hpp>
+#include <event/event.hpp>
+#include <event/settings.hpp>
+#include <tagging/tagged_flows.hpp>
+#include <tagging/tagged_upstreams.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <memory>
+
+namespace cairnhead
+{
+
+/// Decides about packets that carry tags: openings are placed by the VM that
+/// gets them, all others go to the upstream that their tag names.
+///
+/// Needs no owner and no copy of a flow's state: whichever VM gets a packet
+/// knows where it belongs, so planned changes and deaths of VMs break nothing.
+/// Thread safety of all methods: none; one thread, the reducer's.
+class tag_router
+{
+public:
+    /// Precondition: the settings outlive the object.
+    tag_router(tagging_settings const& settings, std::uint64_t seed);
+
+    /// New listings are in force; null ones are ignored. No precondition.
+    void set_listings(
+        time_point now,
+        std::shared_ptr<route_listing const> routes,
+        std::shared_ptr<upstream_listing const> upstreams);
+
+    /// Appends exactly one packet effect for the packet's token.
+    /// Precondition: the packet carries a tag.
+    void
+    route(time_point now, packet_arrived const& packet, effect_list& effects);
+
+    /// Forgets what is over. No precondition.
+    void tick(time_point now);
+
+    /// Whether it has both listings, without which it knows nothing. No
+    /// precondition.
+    [[nodiscard]] bool is_informed() const;
+
+    /// For views. No precondition.
+    [[nodiscard]] std::span<tagged_upstream const> upstreams() const;
+
+    /// How many flows are remembered. No precondition.
+    [[nodiscard]] std::size_t flow_count() const;
+
+private:
+    void route_opening(
+        time_point now, packet_arrived const& packet, effect_list& effects);
+    void repeat_opening(
+        time_point now,
+        packet_arrived const& packet,
+        tagged_flow& flow,
+        effect_list& effects);
+    void place_opening(
+        time_point now,
+        packet_arrived const& packet,
+        upstream_tag excluded,
+        effect_list& effects);
+    void route_by_tag(
+        time_point now, packet_arrived const& packet, effect_list& effects);
+    void follow(time_point now, packet_arrived const& packet);
+    void confirm(time_point now, tagged_flow& flow);
+    void remember(flow_id flow, tagged_flow const& added);
+    void forget(flow_id flow);
+    void uncount(tagged_flow const& flow);
+    [[nodiscard]] std::string_view
+    pool_of(published_route const& route, flow_id flow) const;
+    static void send(
+        packet_arrived const& packet,
+        tagged_upstream const& upstream,
+        effect_list& effects);
+
+    tagging_settings const& settings;
+    std::shared_ptr<route_listing const> routes;
+    std::shared_ptr<upstream_listing const> listed;
+    absl::flat_hash_map<endpoint, published_route const*> route_by_address;
+    tagged_upstreams known;
+    tagged_flows flows;
+    time_point next_cleaning_at;
+};
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/tagging/tagged_flows.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <base/identifiers.hpp>
+#include <base/time.hpp>
+#include <registry/tag.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <vector>
+
+namespace cairnhead
+{
+
+/// How far a flow has come, as far as the caller's packets show it.
+enum class tagged_flow_state : std::uint8_t
+{
+    /// Its opening was sent; the caller has not confirmed an answer.
+    opening,
+    established,
+    /// The caller sent FIN.
+    closing,
+};
+
+/// A flow whose packets pass this VM.
+struct tagged_flow
+{
+    upstream_tag upstream;
+    tagged_flow_state state = tagged_flow_state::opening;
+    /// When this VM sent the opening last.
+    time_point opened_at;
+    time_point expires_at;
+};
+
+/// The flows that pass this VM now. A flow that moves to another VM needs no
+/// entry there: its packets name its upstream. The entries serve to keep the
+/// copies of an opening together and to count the load of upstreams.
+/// Thread safety of all methods: none; one thread, the reducer's.
+class tagged_flows
+{
+public:
+    explicit tagged_flows(std::size_t maximum_flows);
+
+    /// The flow's entry, or nullptr; valid until the next change.
+    /// No precondition.
+    [[nodiscard]] tagged_flow* find(flow_id flow);
+
+    /// Adds a flow, unless the table is full: then nullptr.
+    /// Precondition: the flow has no entry.
+    tagged_flow* insert(flow_id flow, tagged_flow const& added);
+
+    /// Removes a flow. No precondition.
+    void remove(flow_id flow);
+
+    /// Removes all that expired, and calls `on_expired` for each. No
+    /// precondition.
+    template <typename Function>
+    void expire(time_point now, Function const& on_expired)
+    {
+        absl::erase_if(
+            this->flows,
+            [&](auto const& entry)
+            {
+                bool const is_over = entry.second.expires_at <= now;
+                if (is_over)
+                    on_expired(entry.second);
+                return is_over;
+            });
+    }
+
+    /// No precondition.
+    [[nodiscard]] std::size_t size() const;
+
+private:
+    std::size_t maximum;
+    absl::flat_hash_map<flow_id, tagged_flow> flows;
+};
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/tagging/tagged_upstreams.cpp
@@ -0,0 +1,177 @@
+#include <tagging/tagged_upstreams.hpp>
+
+#include <algorithm>
+
+namespace cairnhead
+{
+
+namespace
+{
+
+constexpr double whole_percent = 100.0;
+
+/// More doublings than these cannot matter, and would overflow.
+constexpr std::uint32_t maximum_doublings = 16;
+
+/// Random part of an upstream's load, so that VMs which see the same loads do
+/// not all choose the same one.
+constexpr double tie_breaking_load = 0.01;
+
+} // namespace
+
+tagged_upstreams::tagged_upstreams(
+    tagging_settings const& chosen, std::uint64_t seed)
+    : settings(chosen), random(seed)
+{
+}
+
+void tagged_upstreams::update(time_point now, upstream_listing const& listing)
+{
+    this->mark_missing(now, listing);
+    for (registered_upstream const& registered : listing.upstreams)
+        this->register_one(now, registered);
+    this->rebuild_index();
+}
+
+void tagged_upstreams::mark_missing(
+    time_point now, upstream_listing const& listing)
+{
+    for (tagged_upstream& known : this->upstreams)
+    {
+        if (known.missing_since)
+            continue;
+        bool const is_listed = std::ranges::binary_search(
+            listing.upstreams, known.registered.instance, {},
+            &registered_upstream::instance);
+        if (!is_listed)
+            known.missing_since = now;
+    }
+}
+
+void tagged_upstreams::register_one(
+    time_point now, registered_upstream const& registered)
+{
+    tagged_upstream* known = this->find(tag_of(registered.instance));
+    if (known == nullptr)
+    {
+        known = &this->upstreams.emplace_back();
+        known->tag = tag_of(registered.instance);
+        known->cold_until =
+            now + std::chrono::milliseconds(registered.cold_milliseconds);
+        this->by_tag[known->tag] = this->upstreams.size() - 1;
+    }
+    known->registered = registered;
+    known->missing_since.reset();
+}
+
+void tagged_upstreams::forget_old(time_point now)
+{
+    auto const forgotten = std::erase_if(
+        this->upstreams,
+        [&](tagged_upstream const& known)
+        {
+            return known.missing_since &&
+                   now >
+                       *known.missing_since + this->settings.upstream_retention;
+        });
+    if (forgotten > 0)
+        this->rebuild_index();
+}
+
+void tagged_upstreams::rebuild_index()
+{
+    this->by_tag.clear();
+    this->pools.clear();
+    for (std::size_t index = 0; index < this->upstreams.size(); ++index)
+    {
+        tagged_upstream const& known = this->upstreams[index];
+        this->by_tag[known.tag] = index;
+        this->pools[known.registered.pool].push_back(index);
+    }
+}
+
+tagged_upstream* tagged_upstreams::find(upstream_tag tag)
+{
+    auto const found = this->by_tag.find(tag);
+    if (found == this->by_tag.end())
+        return nullptr;
+    return &this->upstreams[found->second];
+}
+
+tagged_upstream* tagged_upstreams::choose(
+    time_point now, std::string_view pool, upstream_tag excluded)
+{
+    auto const members = this->pools.find(pool);
+    if (members == this->pools.end())
+        return nullptr;
+    tagged_upstream* best = nullptr;
+    auto best_standing = standing::unusable;
+    double best_load = 0;
+    std::uniform_real_distribution<double> ties(0.0, tie_breaking_load);
+    for (std::size_t const index : members->second)
+    {
+        tagged_upstream& candidate = this->upstreams[index];
+        auto const reached = this->standing_of(now, candidate);
+        if (reached == standing::unusable || candidate.tag == excluded)
+            continue;
+        double const load = this->load_of(now, candidate) + ties(this->random);
+        bool const is_better = reached < best_standing ||
+                               (reached == best_standing && load < best_load);
+        if (!is_better)
+            continue;
+        best = &candidate;
+        best_standing = reached;
+        best_load = load;
+    }
+    return best;
+}
+
+tagged_upstreams::standing tagged_upstreams::standing_of(
+    time_point now, tagged_upstream const& upstream) const
+{
+    // A draining upstream must not be asked even when nothing else is left:
+    // what it accepts now would be cut when it ends.
+    if (upstream.registered.is_draining)
+        return standing::unusable;
+    if (upstream.missing_since)
+    {
+        bool const may_live =
+            now < *upstream.missing_since + this->settings.missing_grace;
+        return may_live ? standing::missing : standing::unusable;
+    }
+    return now < upstream.avoided_until ? standing::avoided : standing::ready;
+}
+
+double
+tagged_upstreams::load_of(time_point now, tagged_upstream const& upstream) const
+{
+    double const share = now < upstream.cold_until
+                             ? this->settings.cold_share_percent / whole_percent
+                             : 1.0;
+    double const slots = std::max(upstream.registered.slots, std::uint32_t{1});
+    return (upstream.flows + 1) / (slots * share);
+}
+
+void tagged_upstreams::note_unanswered(
+    time_point now, tagged_upstream& upstream) const
+{
+    auto const doublings = std::min(upstream.failures, maximum_doublings);
+    duration const wanted =
+        this->settings.avoidance_minimum * (1LL << doublings);
+    ++upstream.failures;
+    upstream.avoided_until =
+        now + std::min(wanted, this->settings.avoidance_maximum);
+}
+
+void tagged_upstreams::note_answered(time_point now, tagged_upstream& upstream)
+{
+    upstream.failures = 0;
+    upstream.avoided_until = std::min(upstream.avoided_until, now);
+}
+
+std::span<tagged_upstream const> tagged_upstreams::all() const
+{
+    return this->upstreams;
+}
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/tagging/tagged_upstreams.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <event/settings.hpp>
+#include <registry/tag.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <map>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace cairnhead
+{
+
+/// Everything that one VM knows of one registered upstream.
+struct tagged_upstream
+{
+    registered_upstream registered;
+    upstream_tag tag;
+    /// Set while the registry does not have it.
+    std::optional<time_point> missing_since;
+    time_point cold_until;
+    /// Unanswered openings in a row.
+    std::uint32_t failures = 0;
+    /// It takes new flows before this only when nothing else is left.
+    time_point avoided_until;
+    /// Flows that this VM passes on to it.
+    std::uint32_t flows = 0;
+};
+
+/// The upstreams that the registry has or had lately, by tag and by pool.
+/// Thread safety of all methods: none; one thread, the reducer's.
+class tagged_upstreams
+{
+public:
+    /// Precondition: the settings outlive the object.
+    tagged_upstreams(tagging_settings const& settings, std::uint64_t seed);
+
+    /// Takes in what the registry has now. No precondition.
+    void update(time_point now, upstream_listing const& listing);
+
+    /// Forgets upstreams that left long ago. No precondition.
+    void forget_old(time_point now);
+
+    /// The upstream of a tag, or nullptr; valid until the next change.
+    /// No precondition.
+    [[nodiscard]] tagged_upstream* find(upstream_tag tag);
+
+    /// Chooses an upstream of the pool for a new flow: the least loaded that
+    /// is ready; one that lately left openings unanswered, or is missing from
+    /// the registry, only when nothing else is left. Never `excluded` (zero
+    /// excludes none). Nothing when no upstream may take it. No precondition.
+    [[nodiscard]] tagged_upstream*
+    choose(time_point now, std::string_view pool, upstream_tag excluded);
+
+    /// An opening was not answered. No precondition.
+    void note_unanswered(time_point now, tagged_upstream& upstream) const;
+
+    /// An opening was answered. No precondition.
+    static void note_answered(time_point now, tagged_upstream& upstream);
+
+    /// All that are known. No precondition.
+    [[nodiscard]] std::span<tagged_upstream const> all() const;
+
+private:
+    /// How much an upstream is to be spared; lower goes first.
+    enum class standing : std::uint8_t
+    {
+        ready,
+        avoided,
+        missing,
+        unusable,
+    };
+
+    [[nodiscard]] standing
+    standing_of(time_point now, tagged_upstream const& upstream) const;
+    [[nodiscard]] double
+    load_of(time_point now, tagged_upstream const& upstream) const;
+    void mark_missing(time_point now, upstream_listing const& listing);
+    void register_one(time_point now, registered_upstream const& registered);
+    void rebuild_index();
+
+    tagging_settings const& settings;
+    std::mt19937_64 random;
+    std::vector<tagged_upstream> upstreams;
+    absl::flat_hash_map<upstream_tag, std::size_t> by_tag;
+    std::map<std::string, std::vector<std::size_t>, std::less<>> pools;
+};
+
+} // namespace cairnhead
--- a/libraries/versions/document_name.cpp
+++ b/libraries/versions/document_name.cpp
@@ -1,6 +1,7 @@
 #include <versions/document_name.hpp>
 
 #include <declaration/declaration.hpp>
+#include <registry/registry.hpp>
 
 #include <algorithm>
 
@@ -23,11 +24,16 @@
 
 } // namespace
 
+bool is_registry_name(std::string_view name)
+{
+    return name == route_document_name || name == upstream_document_name;
+}
+
 bool is_document_name(std::string_view name)
 {
     if (name.size() > maximum_document_name)
         return false;
-    if (name == allotment_document_name)
+    if (name == allotment_document_name || is_registry_name(name))
         return true;
     if (!name.starts_with(organisation_document_prefix))
         return false;
@@ -61,7 +67,7 @@
 
 std::string_view get_organisation(std::string_view name)
 {
-    if (name == allotment_document_name)
+    if (name == allotment_document_name || is_registry_name(name))
         return {};
     return name.substr(organisation_document_prefix.size());
 }
--- a/libraries/versions/document_name.hpp
+++ b/libraries/versions/document_name.hpp
@@ -18,6 +18,11 @@
 /// Longer names are ignored; several stamps must fit one datagram.
 inline constexpr std::size_t maximum_document_name = 200;
 
+/// Whether it is one of a registry's documents, which belong to no
+/// organisation and need no allotment. No precondition. Thread safety: no
+/// shared state.
+[[nodiscard]] bool is_registry_name(std::string_view name);
+
 /// Whether the platform may publish a document under this name. No
 /// precondition. Thread safety: no shared state.
 [[nodiscard]] bool is_document_name(std::string_view name);
--- a/libraries/versions/document_table.cpp
+++ b/libraries/versions/document_table.cpp
@@ -77,6 +77,8 @@
 
     if (own_name == allotment_document_name)
         this->judge_allotment(effects);
+    else if (is_registry_name(own_name))
+        this->judge_registry(own_name, target, effects);
     else
         this->judge(own_name, target, effects);
     this->cached_digest.reset();
@@ -142,7 +144,7 @@
 {
     for (auto& [name, judged] : this->records)
     {
-        if (name == allotment_document_name)
+        if (name == allotment_document_name || is_registry_name(name))
             continue;
         this->judge(name, judged, effects);
     }
@@ -161,6 +163,25 @@
     this->update_in_force(name, judged, effects);
 }
 
+void document_table::judge_registry(
+    std::string_view name, record& judged, effect_list& effects)
+{
+    if (judged.newest.parsed == nullptr)
+        return;
+    std::optional<declaration_error> error;
+    if (auto const* read =
+            std::get_if<declaration_error>(judged.newest.parsed.get()))
+        error = *read;
+    note_verdict(name, judged, error, effects);
+    if (judged.version_in_force == judged.accepted.version)
+        return;
+    judged.version_in_force = judged.accepted.version;
+    this->is_changed = true;
+    effects.push_back(report{
+        report_kind::document_in_force, std::string(name),
+        describe(judged.version_in_force)});
+}
+
 void document_table::update_in_force(
     std::string_view name, record& judged, effect_list& effects)
 {
@@ -236,6 +257,13 @@
     return compile_directory(documents);
 }
 
+std::shared_ptr<parsed_document const>
+document_table::registry_document(std::string_view name) const
+{
+    auto const* found = this->find_record(name);
+    return found == nullptr ? nullptr : found->accepted.parsed;
+}
+
 bool document_table::empty() const
 {
     return this->records.empty();
--- a/libraries/versions/document_table.hpp
+++ b/libraries/versions/document_table.hpp
@@ -74,6 +74,11 @@
     /// The services and upstreams of all documents in force. No precondition.
     [[nodiscard]] directory compile();
 
+    /// The newest readable document of a registry under the name, or nullptr.
+    /// Precondition: `is_registry_name(name)`.
+    [[nodiscard]] std::shared_ptr<parsed_document const>
+    registry_document(std::string_view name) const;
+
     /// Whether it holds no text at all. No precondition.
     [[nodiscard]] bool empty() const;
 
@@ -95,6 +100,8 @@
 
     static void store_accepted(record& target, document_text const& text);
     void judge(std::string_view name, record& judged, effect_list& effects);
+    void
+    judge_registry(std::string_view name, record& judged, effect_list& effects);
     static void note_verdict(
         std::string_view name,
         record& judged,
--- a/libraries/versions/parsed_document.hpp
+++ b/libraries/versions/parsed_document.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <declaration/declaration.hpp>
+#include <registry/registry.hpp>
 
 #include <optional>
 #include <string_view>
@@ -10,8 +11,12 @@
 {
 
 /// What a document's text says, or the first reason why it says nothing.
-using parsed_document =
-    std::variant<declaration_error, allotment, organisation_document>;
+using parsed_document = std::variant<
+    declaration_error,
+    allotment,
+    organisation_document,
+    route_listing,
+    upstream_listing>;
 
 /// Reads a document. Never throws for a bad text. Precondition:
 /// `is_document_name(name)`. Thread safety: no shared state.
--- a/libraries/versions/version_store.cpp
+++ b/libraries/versions/version_store.cpp
@@ -307,6 +307,20 @@
     return this->in_force;
 }
 
+std::shared_ptr<route_listing const> version_store::routes() const
+{
+    auto const parsed = this->documents.registry_document(route_document_name);
+    // It shares the ownership of the whole document.
+    return {parsed, std::get_if<route_listing>(parsed.get())};
+}
+
+std::shared_ptr<upstream_listing const> version_store::upstreams() const
+{
+    auto const parsed =
+        this->documents.registry_document(upstream_document_name);
+    return {parsed, std::get_if<upstream_listing>(parsed.get())};
+}
+
 std::uint64_t version_store::generation() const
 {
     return this->in_force_generation;
--- a/libraries/versions/version_store.hpp
+++ b/libraries/versions/version_store.hpp
@@ -88,7 +88,11 @@
     /// The services and upstreams in force. Never null. No precondition.
     [[nodiscard]] std::shared_ptr<directory const> current() const;
 
-    /// Grows by one with each change of `current()`. No precondition.
+    /// The registry's documents in force, or nullptr. No precondition.
+    [[nodiscard]] std::shared_ptr<route_listing const> routes() const;
+    [[nodiscard]] std::shared_ptr<upstream_listing const> upstreams() const;
+
+    /// Grows by one with each change of what is in force. No precondition.
     [[nodiscard]] std::uint64_t generation() const;
 
     /// A text that peers may fetch.
--- a/tests/packet/read_packet_test.cpp
+++ b/tests/packet/read_packet_test.cpp
@@ -235,9 +235,9 @@
     cr_expect(name_of(read_encapsulated(sound)) == "no fault");
     for (auto const& [change, fault] : cases)
     {
-        auto datagram = sound;
-        datagram[change.offset] = change.value;
-        expect_fault("GUE", read_encapsulated(datagram), fault);
+        auto changed = sound;
+        changed[change.offset] = change.value;
+        expect_fault("GUE", read_encapsulated(changed), fault);
     }
     for (std::size_t size = 0; size < gue_header_size; ++size)
     {
--- a/tests/platform/test_platform_client.cpp
+++ b/tests/publication/test_platform_client.cpp
@@ -1,5 +1,5 @@
-#include <platform/platform_client.hpp>
-#include <platform/platform_protocol.hpp>
+#include <publication/platform_client.hpp>
+#include <publication/platform_protocol.hpp>
 
 #include <condition_variable>
 #include <criterion/criterion.h>
--- a/tests/platform/test_platform_protocol.cpp
+++ b/tests/publication/test_platform_protocol.cpp
@@ -1,4 +1,4 @@
-#include <platform/platform_protocol.hpp>
+#include <publication/platform_protocol.hpp>
 
 #include <criterion/criterion.h>
 #include <random>
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -428,6 +428,11 @@
         });
 }
 
+void fleet::carry_out(node&, send_tagged const&)
+{
+    throw std::logic_error("a packet without a tag was sent with one");
+}
+
 void fleet::carry_out(node& source, send_to_peer const& body)
 {
     ++this->peer_packet_count;
@@ -436,9 +441,13 @@
     wire_packet const packet = this->packets[body.token.value()];
     caller_flow const& sent = this->flows[packet.flow];
     this->deliver(
-        body.target,
-        packet_arrived{
-            sent.flow, sent.destination, packet.phase, body.token, body.frame});
+        body.target, packet_arrived{
+                         sent.flow,
+                         sent.destination,
+                         packet.phase,
+                         body.token,
+                         body.frame,
+                         {}});
 }
 
 void fleet::carry_out(node&, refuse_opening const& body)
@@ -595,8 +604,8 @@
         static_cast<std::uint32_t>(this->packets.size() - 1));
     caller_flow const& sent = this->flows[flow];
     this->deliver(
-        ingress, packet_arrived{
-                     sent.flow, sent.destination, phase, token, std::nullopt});
+        ingress,
+        packet_arrived{sent.flow, sent.destination, phase, token, {}, {}});
 }
 
 void fleet::await_answer(std::size_t flow, packet_phase phase)
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -142,6 +142,8 @@
     void apply(node& target, event::body_type body);
     void carry_out(node& source, effect_list const& effects);
     void carry_out(node& source, send_to_upstream const& body);
+    /// This fleet's packets carry no tags.
+    void carry_out(node& source, send_tagged const& body);
     void carry_out(node& source, send_to_peer const& body);
     void carry_out(node& source, refuse_opening const& body);
     void carry_out(node& source, drop_packet const& body);
