Reducer: Rank no owners of flows whose packets carry a tag

Cause: at each join every VM ranked 65,536 slots. Ruled out: fetching of documents by joiners, which came after the delay. Change: reducer_settings::memory; with tags no ownership table is kept.

--- a/libraries/event/settings.hpp
+++ b/libraries/event/settings.hpp
@@ -142,6 +142,15 @@
     std::uint32_t maximum_flows = 450'000;
 };
 
+/// How packets find their flow's upstream.
+enum class flow_memory : std::uint8_t
+{
+    /// VMs remember it: owners, backups and pins.
+    pins,
+    /// The packets name it; see libraries/tagging.
+    tags,
+};
+
 /// Who this VM is. Comes from its settings file.
 struct vm_identity
 {
@@ -152,6 +161,7 @@
 struct reducer_settings
 {
     vm_identity self;
+    flow_memory memory = flow_memory::pins;
     /// Where to ask first; any one live address is enough.
     std::vector<vm_id> seeds;
     /// Seeds the reducer's random numbers.
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -390,6 +390,10 @@
         peers.push_back({known.id, known.domain});
     }
     this->versions.set_peers(now, peers);
+    // Ranking all slots takes milliseconds, which a small VM feels as lost
+    // time at each join, and nobody owns a flow whose packets carry tags.
+    if (this->settings.memory == flow_memory::tags)
+        return;
     std::vector<ownership_candidate> const candidates = this->owners();
     if (this->ownership.is_empty())
         this->rebuild_ownership_history(now, candidates);
--- a/libraries/settings/settings.cpp
+++ b/libraries/settings/settings.cpp
@@ -169,6 +169,7 @@
         if (*name != "tagged")
             this->add(kind::out_of_range, mapping, "encapsulation");
         this->result.fabric.encapsulation = fabric_encapsulation::tagged;
+        this->result.reducer.memory = flow_memory::tags;
     }
 
     void read_gue_fabric(settings_mapping const& mapping)
