Tagging: Offer openings again, and find failure domains that are cut off

Cause: a caller repeats an opening after 200 ms only, when most requests are late, and waits 1.2 s on a flow whose upstream is behind a cut.

Change: an opening that is not confirmed within 50 ms goes to another upstream as well (it carries no data, and the caller answers the first that answers). Repetitions and acknowledgements tell which upstreams are silent; when two of a domain are, none of it answered for 400 ms, others did, and none of its VMs answers a ping within 150 ms, its flows are reset on their next repetition and nothing new is placed there.

--- a/libraries/event/effect.hpp
+++ b/libraries/event/effect.hpp
@@ -33,6 +33,8 @@
     refused_silently,
     /// Neither the flow's owner nor its backup can be reached now.
     owner_unreachable,
+    /// The flow's upstream cannot be reached; the caller was told.
+    upstream_unreachable,
 };
 
 /// Why an opening was refused. Each has a counter per organisation.
@@ -62,6 +64,21 @@
     upstream_tag tag;
 };
 
+/// End the packet's flow at the caller: its upstream cannot be reached, and
+/// the caller would wait in vain until its own time is over.
+struct reset_flow
+{
+    packet_token token;
+};
+
+/// Send an opening that arrived earlier once more. No packet waits for it.
+struct repeat_opening
+{
+    std::vector<std::uint8_t> bytes;
+    tagged_target target;
+    upstream_tag tag;
+};
+
 /// Hand the packet to another VM.
 struct send_to_peer
 {
@@ -154,6 +171,8 @@
     platform_stale,
     upstream_ejected,
     upstream_restored,
+    domain_unreachable,
+    domain_reachable,
     leave_started,
     leave_finished,
     pin_conflict,
@@ -172,6 +191,8 @@
 using effect = std::variant<
     send_to_upstream,
     send_tagged,
+    reset_flow,
+    repeat_opening,
     send_to_peer,
     refuse_opening,
     drop_packet,
--- a/libraries/event/event.hpp
+++ b/libraries/event/event.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -33,6 +34,17 @@
     datagram,
 };
 
+/// How far the two directions of a flow have come, as a packet tells it. Where
+/// it stays behind, one side no longer hears the other.
+struct flow_progress
+{
+    /// Number of the packet's first byte.
+    std::uint32_t sequence = 0;
+    /// Number of the next byte that the caller expects from its upstream.
+    std::uint32_t acknowledged = 0;
+    bool has_data = false;
+};
+
 /// A caller's packet arrived: from the fabric (no frame) or from another VM.
 struct packet_arrived
 {
@@ -43,6 +55,11 @@
     std::optional<peer_frame> frame;
     /// Absent where the fabric's packets carry no tags. Zero in an opening.
     std::optional<upstream_tag> tag{};
+    /// With a tag only.
+    flow_progress progress{};
+    /// With a tag only: the whole of an opening, to be sent again to another
+    /// upstream. Valid during the call.
+    std::span<std::uint8_t const> opening_bytes{};
 };
 
 /// An authenticated control message arrived.
@@ -59,6 +76,17 @@
 /// How often the runtime sends `tick`.
 inline constexpr auto tick_period = std::chrono::milliseconds(100);
 
+/// The moment that `reducer::next_due` named has come.
+struct deadline_reached
+{
+};
+
+/// The operator changed the settings: VMs to ask may be found there.
+struct seeds_changed
+{
+    std::vector<vm_id> seeds;
+};
+
 /// The process started; always the first event.
 struct started
 {
@@ -115,6 +143,8 @@
         packet_arrived,
         control_arrived,
         tick,
+        deadline_reached,
+        seeds_changed,
         started,
         leave_requested,
         platform_listed,
--- a/libraries/event/settings.hpp
+++ b/libraries/event/settings.hpp
@@ -130,6 +130,16 @@
     /// An opening that the caller repeats after this was not answered, and
     /// moves to another upstream.
     duration answer_timeout = 120ms;
+    /// An opening that the caller has not confirmed after this is sent to
+    /// another upstream as well, without waiting for the caller's own copy.
+    duration retry_after = 50ms;
+    /// How often one opening is sent again so.
+    std::uint32_t maximum_retries = 2;
+    /// A failure domain from which no upstream answered for this long, while
+    /// others did, may be out of reach.
+    duration silence_timeout = 400ms;
+    /// It is out of reach when none of its VMs answers within this.
+    duration ask_timeout = 150ms;
     /// How long an upstream that left an opening unanswered is avoided;
     /// doubles with each one up to the maximum.
     duration avoidance_minimum = 1s;
--- a/libraries/membership/membership.hpp
+++ b/libraries/membership/membership.hpp
@@ -53,6 +53,10 @@
     /// known to have left. Precondition: started.
     void heard_from(time_point now, vm_id sender);
 
+    /// Pings a VM out of turn; its answer comes as a message like any other.
+    /// No precondition.
+    void ask(vm_id vm, effect_list& effects);
+
     /// Handlers of the membership messages. Precondition: started.
     void receive(
         time_point now,
--- a/libraries/membership/membership_probing.cpp
+++ b/libraries/membership/membership_probing.cpp
@@ -153,6 +153,11 @@
     return std::nullopt;
 }
 
+void membership::ask(vm_id vm, effect_list& effects)
+{
+    this->send_ping(vm, effects);
+}
+
 std::uint32_t membership::send_ping(vm_id target, effect_list& effects)
 {
     std::uint32_t const sequence = this->next_sequence;
--- a/libraries/observability/effect_text.hpp
+++ b/libraries/observability/effect_text.hpp
@@ -36,6 +36,8 @@
         return "refused_silently";
     case drop_reason::owner_unreachable:
         return "owner_unreachable";
+    case drop_reason::upstream_unreachable:
+        return "upstream_unreachable";
     }
     return {};
 }
@@ -132,6 +134,10 @@
         return "upstream_ejected";
     case report_kind::upstream_restored:
         return "upstream_restored";
+    case report_kind::domain_unreachable:
+        return "domain_unreachable";
+    case report_kind::domain_reachable:
+        return "domain_reachable";
     case report_kind::leave_started:
         return "leave_started";
     case report_kind::leave_finished:
--- a/libraries/observability/log_report.cpp
+++ b/libraries/observability/log_report.cpp
@@ -26,6 +26,9 @@
     case report_kind::upstream_ejected:
     case report_kind::upstream_restored:
         return "upstream";
+    case report_kind::domain_unreachable:
+    case report_kind::domain_reachable:
+        return "failure_domain";
     default:
         return "subject";
     }
@@ -46,6 +49,7 @@
     case report_kind::platform_unreachable:
     case report_kind::platform_stale:
     case report_kind::upstream_ejected:
+    case report_kind::domain_unreachable:
     case report_kind::pin_conflict:
         return log_level::warning;
     default:
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -38,7 +38,10 @@
           seed_for(this->settings, "placement")),
       admitter(this->settings.admission, this->settings.pins.maximum_pins),
       handing_over(this->settings.handover, this->settings.pins),
-      tagged(this->settings.tagging, seed_for(this->settings, "tagging")),
+      tagged(
+          this->settings.tagging,
+          this->settings.self.domain,
+          seed_for(this->settings, "tagging")),
       declarations(this->versions.current())
 {
 }
@@ -129,6 +132,11 @@
     return found;
 }
 
+std::optional<time_point> reducer::next_due() const
+{
+    return this->tagged.next_due();
+}
+
 bool reducer::is_ready() const
 {
     if (this->handing_over.is_leaving())
@@ -151,7 +159,11 @@
     time_point now, packet_arrived const& body, effect_list& out)
 {
     if (body.tag.has_value())
-        return this->tagged.route(now, body, out);
+    {
+        this->tagged.route(now, body, out);
+        this->ask_domains(out);
+        return;
+    }
     routing_context const parts = this->context();
     flow_router(now, this->settings.pins, parts, body, out).route();
 }
@@ -162,6 +174,8 @@
     vm_id const sender = body.message.sender;
     if (this->has_joined)
         this->members.heard_from(now, sender);
+    if (member const* const known = this->members.find(sender))
+        this->tagged.note_heard(now, known->domain);
     std::visit(
         [&](auto const& message)
         {
@@ -182,6 +196,33 @@
     this->handing_over.tick(now, this->context(), out);
 }
 
+void reducer::handle(time_point now, deadline_reached const&, effect_list& out)
+{
+    this->tagged.advance(now, out);
+    this->ask_domains(out);
+}
+
+void reducer::handle(
+    time_point now, seeds_changed const& body, effect_list& out)
+{
+    if (this->has_joined)
+        this->members.hint(now, body.seeds, out);
+    else
+        this->hints_before_join = body.seeds;
+}
+
+void reducer::ask_domains(effect_list& out)
+{
+    for (failure_domain_id const domain : this->tagged.take_questions())
+    {
+        for (member const& known : this->members.members())
+        {
+            if (known.domain == domain && known.id != this->settings.self.id)
+                this->members.ask(known.id, out);
+        }
+    }
+}
+
 void reducer::handle(time_point now, started const& body, effect_list&)
 {
     this->first_life = first_incarnation(body.wall_clock_milliseconds);
@@ -369,7 +410,9 @@
     if (!this->has_joined)
         return;
     // Before a peer has told who is there, this VM would own every flow.
-    if (this->ownership.is_empty() && !this->members.is_view_fresh(now))
+    bool const may_own = this->settings.memory == flow_memory::pins;
+    if (may_own && this->ownership.is_empty() &&
+        !this->members.is_view_fresh(now))
         return;
     if (this->applied_membership == this->members.generation())
         return;
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -50,6 +50,9 @@
     /// The declarations in force, with what peers may fetch.
     [[nodiscard]] version_store const& documents() const;
 
+    /// When `deadline_reached` should come, if at all. No precondition.
+    [[nodiscard]] std::optional<time_point> next_due() const;
+
     /// Whether callers may be sent to this VM: it knows the declarations, and
     /// it is not about to leave. Precondition: started.
     [[nodiscard]] bool is_ready() const;
@@ -61,6 +64,8 @@
     void handle(time_point now, packet_arrived const& body, effect_list& out);
     void handle(time_point now, control_arrived const& body, effect_list& out);
     void handle(time_point now, tick const& body, effect_list& out);
+    void handle(time_point now, deadline_reached const& body, effect_list& out);
+    void handle(time_point now, seeds_changed const& body, effect_list& out);
     void handle(time_point now, started const& body, effect_list& out);
     void handle(time_point now, leave_requested const& body, effect_list& out);
     void handle(time_point now, platform_listed const& body, effect_list& out);
@@ -114,6 +119,7 @@
         time_point now, std::span<ownership_candidate const> candidates);
     void apply_document_changes(time_point now);
     void update_permission(time_point now, effect_list& out);
+    void ask_domains(effect_list& out);
     [[nodiscard]] std::vector<ownership_candidate> owners() const;
 
     reducer_settings settings;
--- a/libraries/runtime/daemon.cpp
+++ b/libraries/runtime/daemon.cpp
@@ -37,8 +37,8 @@
 
 } // namespace
 
-daemon::daemon(daemon_settings read_settings)
-    : settings(std::move(read_settings)),
+daemon::daemon(daemon_settings read_settings, settings_source reread)
+    : settings(std::move(read_settings)), source(std::move(reread)),
       log(make_log_options(this->settings.logging)), measured(fault_names()),
       exposer(
           this->measured.registry(),
@@ -49,10 +49,38 @@
       packets(
           this->settings,
           {this->keys, this->signals, this->arrivals, this->views, this->calls,
-           this->measured, this->log, this->is_ready})
+           this->measured, this->log, this->is_ready,
+           [this]
+           {
+               return this->reread_settings();
+           }})
 {
 }
 
+std::optional<daemon_settings> daemon::reread_settings()
+{
+    if (!this->source)
+        return std::nullopt;
+    try
+    {
+        daemon_settings read = this->source();
+        // NOTE: Only where to find other VMs changes while the process runs;
+        // whatever else is new in the file counts from the next start on.
+        this->log.write(
+            log_level::info, "settings_read_again", {{"applied", "seeds"}});
+        return read;
+    }
+    catch (std::exception const& failure)
+    {
+        // A file that is being written or is wrong must not end a process
+        // that serves flows.
+        this->log.write(
+            log_level::error, "settings_rejected",
+            {{"reason", failure.what()}});
+        return std::nullopt;
+    }
+}
+
 void daemon::run()
 {
     std::string const vm = format_ipv4(own_address(this->settings));
--- a/libraries/runtime/daemon.hpp
+++ b/libraries/runtime/daemon.hpp
@@ -12,10 +12,16 @@
 #include <wire/authenticator.hpp>
 
 #include <atomic>
+#include <functional>
+#include <optional>
 
 namespace cairnhead
 {
 
+/// Reads the settings file again. Throws `settings_rejected`, or whatever
+/// reading files throws.
+using settings_source = std::function<daemon_settings()>;
+
 /// The process of one entry VM: all threads and what they share.
 /// Thread safety of all methods: none; the main thread.
 class daemon
@@ -24,7 +30,7 @@
     /// Binds the packet and metrics sockets. Throws `system_failure`,
     /// `address_unavailable` and `exposer_unavailable`.
     /// Precondition: no other thread runs yet.
-    explicit daemon(daemon_settings read_settings);
+    explicit daemon(daemon_settings read_settings, settings_source reread = {});
 
     /// Serves until a planned leave is complete, or a second signal comes.
     /// Throws `system_failure` and `rpc_address_unavailable`.
@@ -32,7 +38,10 @@
     void run();
 
 private:
+    [[nodiscard]] std::optional<daemon_settings> reread_settings();
+
     daemon_settings settings;
+    settings_source source;
     /// First, since it blocks the signals for the threads started below.
     signal_source signals;
     logger log;
--- a/libraries/runtime/effect_executor.cpp
+++ b/libraries/runtime/effect_executor.cpp
@@ -61,6 +61,22 @@
     ++this->counted.to_upstream;
 }
 
+void effect_executor::carry_out(reset_flow const& wanted)
+{
+    packet_view const packet = this->parts.packets.take(wanted.token);
+    this->parts.sender.reset_tagged(packet);
+    this->parts.counters.count_drop(drop_reason::upstream_unreachable);
+    ++this->counted.dropped;
+}
+
+void effect_executor::carry_out(repeat_opening const& wanted)
+{
+    packet_view packet;
+    packet.bytes = wanted.bytes;
+    this->parts.sender.send_tagged_packet(packet, wanted.target, wanted.tag);
+    ++this->counted.to_upstream;
+}
+
 void effect_executor::carry_out(send_to_peer const& wanted)
 {
     packet_view const packet = this->parts.packets.take(wanted.token);
--- a/libraries/runtime/effect_executor.hpp
+++ b/libraries/runtime/effect_executor.hpp
@@ -44,6 +44,8 @@
     void execute_one(effect const& wanted);
     void carry_out(send_to_upstream const& wanted);
     void carry_out(send_tagged const& wanted);
+    void carry_out(reset_flow const& wanted);
+    void carry_out(repeat_opening const& wanted);
     void carry_out(send_to_peer const& wanted);
     void carry_out(refuse_opening const& wanted);
     void carry_out(drop_packet const& wanted);
--- a/libraries/runtime/packet_sender.cpp
+++ b/libraries/runtime/packet_sender.cpp
@@ -38,12 +38,12 @@
     this->counters.count_sent_to_upstream();
 }
 
-void packet_sender::reset_tagged(packet_view const& opening)
+void packet_sender::reset_tagged(packet_view const& answered)
 {
     this->make_room(this->to_fabric, this->sockets.fabric);
-    write_tagged_reset(opening, this->to_fabric.next_buffer());
+    write_tagged_reset(answered, this->to_fabric.next_buffer());
     this->to_fabric.add_written(
-        {opening.source.address, this->settings.fabric.caller_port});
+        {answered.source.address, this->settings.fabric.caller_port});
 }
 
 void packet_sender::send_to_peer(
--- a/libraries/runtime/packet_sender.hpp
+++ b/libraries/runtime/packet_sender.hpp
@@ -44,9 +44,9 @@
         tagged_target const& target,
         upstream_tag tag);
 
-    /// Ends a caller's opening that carries a tag. Precondition: it was not
-    /// sent to any upstream, or none answered it.
-    void reset_tagged(packet_view const& opening);
+    /// Sends a caller a reset for its packet, which carries a tag. No
+    /// precondition.
+    void reset_tagged(packet_view const& answered);
 
     /// Hands a caller's packet to another VM. No precondition.
     void send_to_peer(
--- a/libraries/runtime/packet_thread.cpp
+++ b/libraries/runtime/packet_thread.cpp
@@ -90,7 +90,15 @@
         this->sockets.fabric.descriptor(),
         [this]
         {
-            this->intake.take_from_fabric();
+            this->take_from_fabric();
+        });
+    // After the packets: a confirmation that waits in the socket must be seen
+    // before its opening is taken for unanswered.
+    this->loop.watch(
+        this->deadlines.descriptor(),
+        [this]
+        {
+            this->take_deadline();
         });
 }
 
@@ -106,10 +114,37 @@
         this->publish_view();
 }
 
+void packet_thread::take_deadline()
+{
+    this->deadlines.acknowledge();
+    this->driver.refresh_time();
+    this->driver.apply(deadline_reached{});
+    this->carry_out();
+}
+
+void packet_thread::take_from_fabric()
+{
+    this->intake.take_from_fabric();
+    this->deadlines.arm(this->driver.state().next_due());
+}
+
+void packet_thread::reread_settings()
+{
+    auto const found = this->shared.reread_settings();
+    if (!found)
+        return;
+    this->driver.refresh_time();
+    this->driver.apply(seeds_changed{found->reducer.seeds});
+    this->carry_out();
+}
+
 void packet_thread::take_signals()
 {
     bool const was_leaving = this->signal_count > 0;
-    this->signal_count += this->shared.signals.take();
+    signal_source::arrivals const arrived = this->shared.signals.take();
+    this->signal_count += arrived.endings;
+    if (arrived.are_settings_changed)
+        this->reread_settings();
     if (this->signal_count > 1)
     {
         this->shared.log.write(log_level::warning, "ended_at_once");
@@ -167,6 +202,7 @@
     static_cast<void>(this->driver.carry_out_effects());
     this->sender.flush();
     this->shared.is_ready = this->driver.state().is_ready();
+    this->deadlines.arm(this->driver.state().next_due());
 }
 
 void packet_thread::publish_view()
--- a/libraries/runtime/packet_thread.hpp
+++ b/libraries/runtime/packet_thread.hpp
@@ -2,6 +2,7 @@
 
 #include <observability/logger.hpp>
 #include <observability/metrics.hpp>
+#include <runtime/deadline_timer.hpp>
 #include <runtime/effect_executor.hpp>
 #include <runtime/event_loop.hpp>
 #include <runtime/fault_log.hpp>
@@ -17,6 +18,8 @@
 #include <runtime/view_board.hpp>
 
 #include <atomic>
+#include <functional>
+#include <optional>
 
 namespace cairnhead
 {
@@ -32,6 +35,8 @@
     metrics& measured;
     logger& log;
     std::atomic<bool>& is_ready;
+    /// Reads the settings file again; nothing when it cannot be used.
+    std::function<std::optional<daemon_settings>()> reread_settings;
 };
 
 /// The thread that owns the reducer: waits for packets, timers, signals and
@@ -56,7 +61,10 @@
 private:
     void watch_sources();
     void take_tick();
+    void take_deadline();
+    void take_from_fabric();
     void take_signals();
+    void reread_settings();
     void take_inbox();
     void take(explain_request& asked);
     void take(document_request& asked);
@@ -74,6 +82,7 @@
     packet_pool packets;
     event_loop loop;
     tick_timer ticks;
+    deadline_timer deadlines;
     effect_executor executor;
     reducer_driver driver;
     traffic_intake intake;
--- a/libraries/runtime/reducer_driver.cpp
+++ b/libraries/runtime/reducer_driver.cpp
@@ -34,6 +34,11 @@
     arrived.token = this->packets.hold(packet);
     arrived.frame = frame;
     arrived.tag = packet.tag;
+    arrived.progress = {
+        packet.tcp_sequence, packet.tcp_acknowledgement,
+        !packet.payload.empty()};
+    if (packet.tag && packet.phase == packet_phase::opening)
+        arrived.opening_bytes = packet.bytes;
     this->decider.apply(this->current_time, arrived, this->made);
 }
 
--- a/libraries/runtime/signal_source.cpp
+++ b/libraries/runtime/signal_source.cpp
@@ -12,18 +12,20 @@
 namespace
 {
 
-sigset_t ending_signals()
+sigset_t handled_signals()
 {
     sigset_t signals;
     ::sigemptyset(&signals);
     ::sigaddset(&signals, SIGTERM);
     ::sigaddset(&signals, SIGINT);
+    // Without this a change of the settings file would end the process.
+    ::sigaddset(&signals, SIGHUP);
     return signals;
 }
 
 int open_blocked_signals()
 {
-    sigset_t const signals = ending_signals();
+    sigset_t const signals = handled_signals();
     int const failure = ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     if (failure != 0)
         throw system_failure(system_call::block_signals, failure);
@@ -46,13 +48,18 @@
     return this->signals.get();
 }
 
-unsigned signal_source::take()
+signal_source::arrivals signal_source::take()
 {
-    unsigned count = 0;
+    arrivals taken;
     signalfd_siginfo arrived{};
     while (::read(this->signals.get(), &arrived, sizeof(arrived)) > 0)
-        ++count;
-    return count;
+    {
+        if (arrived.ssi_signo == SIGHUP)
+            taken.are_settings_changed = true;
+        else
+            ++taken.endings;
+    }
+    return taken;
 }
 
 } // namespace cairnhead
--- a/libraries/runtime/signal_source.hpp
+++ b/libraries/runtime/signal_source.hpp
@@ -5,8 +5,8 @@
 namespace cairnhead
 {
 
-/// Turns SIGTERM and SIGINT into a readable descriptor, and ignores SIGPIPE.
-/// Thread safety of all methods: none; one thread, the packet thread.
+/// Turns SIGTERM, SIGINT and SIGHUP into a readable descriptor, and ignores
+/// SIGPIPE. Thread safety of all methods: none; one thread, the packet thread.
 class signal_source
 {
 public:
@@ -18,8 +18,17 @@
     /// For the event loop. No precondition.
     [[nodiscard]] int descriptor() const;
 
-    /// How many signals arrived since the last call. No precondition.
-    [[nodiscard]] unsigned take();
+    /// What arrived.
+    struct arrivals
+    {
+        /// SIGTERM and SIGINT.
+        unsigned endings = 0;
+        /// SIGHUP: the settings file is to be read again.
+        bool are_settings_changed = false;
+    };
+
+    /// The signals that arrived since the last call. No precondition.
+    [[nodiscard]] arrivals take();
 
 private:
     file_descriptor signals;
--- a/libraries/settings/section_fields.hpp
+++ b/libraries/settings/section_fields.hpp
@@ -276,7 +276,7 @@
     using durations = duration_field<section>;
     using numbers = number_field<section>;
 
-    static constexpr std::array<section_field<section>, 8> fields = {{
+    static constexpr std::array<section_field<section>, 12> fields = {{
         durations{
             "upstream_retention", &section::upstream_retention,
             shortest_duration, longest_lifetime},
@@ -286,6 +286,16 @@
         durations{
             "answer_timeout", &section::answer_timeout, shortest_duration,
             longest_timeout},
+        durations{
+            "retry_after", &section::retry_after, shortest_duration,
+            longest_timeout},
+        numbers{"maximum_retries", &section::maximum_retries, 0, 10},
+        durations{
+            "silence_timeout", &section::silence_timeout, shortest_duration,
+            longest_timeout},
+        durations{
+            "ask_timeout", &section::ask_timeout, shortest_duration,
+            longest_timeout},
         durations{
             "avoidance_minimum", &section::avoidance_minimum, shortest_duration,
             longest_timeout},
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -33,8 +33,12 @@
 
 } // namespace
 
-tag_router::tag_router(tagging_settings const& chosen, std::uint64_t seed)
-    : settings(chosen), known(chosen, seed), flows(chosen.maximum_flows)
+tag_router::tag_router(
+    tagging_settings const& chosen,
+    failure_domain_id own_domain,
+    std::uint64_t seed)
+    : settings(chosen), domains(chosen, own_domain),
+      known(chosen, this->domains, seed), flows(chosen.maximum_flows)
 {
 }
 
@@ -75,12 +79,12 @@
                          now < flow->opened_at + copy_window &&
                          flow->state != tagged_flow_state::closing;
     if (is_copy)
-        return this->repeat_opening(now, packet, *flow, effects);
+        return this->route_copy(now, packet, *flow, effects);
     this->forget(packet.flow);
     this->place_opening(now, packet, upstream_tag(), effects);
 }
 
-void tag_router::repeat_opening(
+void tag_router::route_copy(
     time_point now,
     packet_arrived const& packet,
     tagged_flow& flow,
@@ -96,7 +100,7 @@
     if (upstream != nullptr && !is_unanswered)
         return send(packet, *upstream, effects);
     if (upstream != nullptr)
-        this->known.note_unanswered(now, *upstream);
+        this->note_silent(now, *upstream);
     upstream_tag const excluded = flow.upstream;
     this->forget(packet.flow);
     // An opening carries no data, and the caller answers the first upstream
@@ -110,17 +114,14 @@
     upstream_tag excluded,
     effect_list& effects)
 {
-    auto const found = this->route_by_address.find(packet.destination);
-    if (found == this->route_by_address.end())
+    if (!this->route_by_address.contains(packet.destination))
     {
         effects.emplace_back(
             drop_packet{packet.token, drop_reason::unknown_destination});
         return;
     }
-    std::string_view const pool = this->pool_of(*found->second, packet.flow);
-    tagged_upstream* chosen = this->known.choose(now, pool, excluded);
-    if (chosen == nullptr)
-        chosen = this->known.choose(now, pool, upstream_tag());
+    tagged_upstream const* const chosen =
+        this->choose(now, packet.destination, packet.flow, excluded);
     if (chosen == nullptr)
     {
         effects.emplace_back(refuse_opening{
@@ -135,14 +136,122 @@
         packet.flow, {.upstream = chosen->tag,
                       .state = tagged_flow_state::opening,
                       .opened_at = now,
-                      .expires_at = now + opening_lifetime});
+                      .expires_at = now + opening_lifetime,
+                      .also_asked = excluded,
+                      .progress = {},
+                      .seen_at = now});
+    this->await_answer(now, packet);
     send(packet, *chosen, effects);
 }
 
+tagged_upstream* tag_router::choose(
+    time_point now,
+    endpoint const& destination,
+    flow_id flow,
+    upstream_tag excluded)
+{
+    auto const found = this->route_by_address.find(destination);
+    if (found == this->route_by_address.end())
+        return nullptr;
+    std::string_view const pool = this->pool_of(*found->second, flow);
+    tagged_upstream* const chosen = this->known.choose(now, pool, excluded);
+    if (chosen != nullptr)
+        return chosen;
+    return this->known.choose(now, pool, upstream_tag());
+}
+
+void tag_router::await_answer(time_point now, packet_arrived const& packet)
+{
+    // Data may have run where it was sent, so only a bare opening is repeated.
+    if (packet.phase != packet_phase::opening || packet.opening_bytes.empty())
+        return;
+    this->unconfirmed.add(
+        {.flow = packet.flow,
+         .destination = packet.destination,
+         .bytes = {packet.opening_bytes.begin(), packet.opening_bytes.end()},
+         .retries = 0,
+         .due_at = now + this->settings.retry_after});
+}
+
+void tag_router::advance(time_point now, effect_list& effects)
+{
+    while (auto due = this->unconfirmed.take_due(now))
+        this->retry(now, std::move(*due), effects);
+    this->domains.advance(now);
+    this->report_verdicts(effects);
+}
+
+void tag_router::retry(
+    time_point now, pending_opening opening, effect_list& effects)
+{
+    tagged_flow* const flow = this->flows.find(opening.flow);
+    bool const is_waiting = flow != nullptr &&
+                            flow->state == tagged_flow_state::opening &&
+                            opening.retries < this->settings.maximum_retries;
+    if (!is_waiting)
+        return;
+    // The caller repeats its opening only after a fifth of a second, by which
+    // time most requests of interest to people are late already.
+    upstream_tag const silent = flow->upstream;
+    if (tagged_upstream* const asked = this->known.find(silent))
+        this->note_silent(now, *asked);
+    tagged_upstream const* const chosen =
+        this->choose(now, opening.destination, opening.flow, silent);
+    if (chosen == nullptr)
+        return;
+    this->forget(opening.flow);
+    this->remember(
+        opening.flow, {.upstream = chosen->tag,
+                       .state = tagged_flow_state::opening,
+                       .opened_at = now,
+                       .expires_at = now + opening_lifetime,
+                       .also_asked = silent,
+                       .progress = {},
+                      .seen_at = now});
+    registered_upstream const& at = chosen->registered;
+    effects.emplace_back(repeat_opening{
+        opening.bytes, {at.address, at.port, at.instance}, chosen->tag});
+    ++opening.retries;
+    opening.due_at = now + this->settings.retry_after;
+    this->unconfirmed.add(std::move(opening));
+}
+
+void tag_router::report_verdicts(effect_list& effects)
+{
+    for (domain_watch::verdict const& changed : this->domains.take_verdicts())
+    {
+        auto const kind = changed.is_unreachable
+                              ? report_kind::domain_unreachable
+                              : report_kind::domain_reachable;
+        effects.emplace_back(
+            report{kind, this->known.name_of(changed.domain), {}});
+    }
+}
+
+std::optional<time_point> tag_router::next_due() const
+{
+    auto const retry_at = this->unconfirmed.next_due();
+    auto const verdict_at = this->domains.next_due();
+    if (!retry_at || !verdict_at)
+        return retry_at ? retry_at : verdict_at;
+    return std::min(*retry_at, *verdict_at);
+}
+
+void tag_router::note_heard(time_point now, failure_domain_id domain)
+{
+    this->domains.note_heard(now, domain);
+}
+
+std::vector<failure_domain_id> tag_router::take_questions()
+{
+    return this->domains.take_questions();
+}
+
 void tag_router::route_by_tag(
     time_point now, packet_arrived const& packet, effect_list& effects)
 {
-    tagged_upstream* const upstream = this->known.find(*packet.tag);
+    tagged_upstream* const upstream =
+        this->known.find(this->tag_in_force(packet));
     if (upstream == nullptr)
     {
         // A reset could end a flow that another VM knows; the caller repeats
@@ -151,48 +260,137 @@
             drop_packet{packet.token, drop_reason::unknown_flow});
         return;
     }
-    this->follow(now, packet);
-    send(packet, *upstream, effects);
+    this->follow(now, packet, *upstream);
+    if (!this->must_reset(packet, *upstream))
+        return send(packet, *upstream, effects);
+    this->forget(packet.flow);
+    effects.emplace_back(reset_flow{packet.token});
 }
 
-void tag_router::follow(time_point now, packet_arrived const& packet)
+upstream_tag tag_router::tag_in_force(packet_arrived const& packet) const
+{
+    tagged_flow const* const flow = this->flows.find(packet.flow);
+    // Two upstreams got this flow's opening. The caller answered the first
+    // that answered; the second one's answer may have changed the tag since,
+    // and that upstream would reset a flow which it does not hold.
+    bool const is_settled =
+        flow != nullptr && flow->state != tagged_flow_state::opening;
+    if (is_settled && *packet.tag == flow->also_asked)
+        return flow->upstream;
+    return *packet.tag;
+}
+
+bool tag_router::must_reset(
+    packet_arrived const& packet, tagged_upstream const& upstream) const
+{
+    return packet.progress.has_data && upstream.silent_since &&
+           this->domains.is_unreachable(upstream.domain);
+}
+
+void tag_router::follow(
+    time_point now, packet_arrived const& packet, tagged_upstream& upstream)
 {
     if (packet.phase == packet_phase::reset)
         return this->forget(packet.flow);
-    tagged_flow* flow = this->flows.find(packet.flow);
-    if (flow != nullptr && flow->upstream != *packet.tag)
-    {
-        // The caller answered the other of two upstreams that were asked.
-        this->forget(packet.flow);
-        flow = nullptr;
-    }
+    tagged_flow* const flow = this->enter(now, packet, upstream.tag);
     if (flow == nullptr)
+        return;
+    if (flow->state == tagged_flow_state::opening)
     {
-        // Opened through another VM.
-        this->remember(
-            packet.flow, {.upstream = *packet.tag,
-                          .state = tagged_flow_state::established,
-                          .opened_at = now - copy_window,
-                          .expires_at = now + this->settings.idle_timeout});
-        flow = this->flows.find(packet.flow);
-        if (flow == nullptr)
-            return;
+        flow->state = tagged_flow_state::established;
+        this->note_answered(now, upstream);
     }
-    if (flow->state == tagged_flow_state::opening)
-        this->confirm(now, *flow);
+    this->note_progress(now, packet, *flow, upstream);
+    flow->seen_at = now;
     if (packet.phase == packet_phase::closing)
         flow->state = tagged_flow_state::closing;
     flow->expires_at = flow->state == tagged_flow_state::closing
                            ? now + closing_lifetime
-                           : now + this->settings.idle_timeout;
+                           : now + this->idle_timeout();
 }
 
-void tag_router::confirm(time_point now, tagged_flow& flow)
+tagged_flow* tag_router::enter(
+    time_point now, packet_arrived const& packet, upstream_tag tag)
 {
-    flow.state = tagged_flow_state::established;
-    tagged_upstream* const upstream = this->known.find(flow.upstream);
-    if (upstream != nullptr)
-        tagged_upstreams::note_answered(now, *upstream);
+    tagged_flow* const flow = this->flows.find(packet.flow);
+    if (flow != nullptr && flow->upstream == tag)
+        return flow;
+    // Opened through another VM, or the caller answered the other of two
+    // upstreams that were asked.
+    upstream_tag const also_asked =
+        flow == nullptr ? upstream_tag() : flow->upstream;
+    bool const was_opening =
+        flow != nullptr && flow->state == tagged_flow_state::opening;
+    this->forget(packet.flow);
+    this->remember(
+        packet.flow, {.upstream = tag,
+                      .state = was_opening ? tagged_flow_state::opening
+                                           : tagged_flow_state::established,
+                      .opened_at = now - copy_window,
+                      .expires_at = now + this->idle_timeout(),
+                      .also_asked = also_asked,
+                      .progress = {},
+                      .seen_at = now});
+    return this->flows.find(packet.flow);
+}
+
+void tag_router::note_progress(
+    time_point now,
+    packet_arrived const& packet,
+    tagged_flow& flow,
+    tagged_upstream& upstream)
+{
+    flow_progress const& told = packet.progress;
+    if (!flow.progress)
+    {
+        flow.progress = told;
+        return;
+    }
+    flow_progress& known_progress = *flow.progress;
+    // Only an answer to what passed this VM shows that the upstream can be
+    // reached from here. An upstream behind a cut still reaches callers, and
+    // ends idle flows unasked. And a caller acknowledges a short answer only
+    // with its next request or its end, which may come seconds later. Taken
+    // for news, either would hide that a failure domain is cut off.
+    bool const is_late =
+        told.has_data || packet.phase == packet_phase::closing;
+    time_point const answered_at = is_late ? flow.seen_at : now;
+    bool const is_answered =
+        told.acknowledged != known_progress.acknowledged &&
+        flow.state != tagged_flow_state::closing;
+    if (is_answered)
+        this->note_answered(answered_at, upstream);
+    // Numbers wrap around, so their difference tells which comes first.
+    auto const ahead =
+        static_cast<std::int32_t>(told.sequence - known_progress.sequence);
+    bool const is_repeated =
+        told.has_data && known_progress.has_data && ahead <= 0;
+    if (is_repeated)
+        this->note_silent(now, upstream);
+    known_progress.acknowledged = told.acknowledged;
+    if (!told.has_data)
+        return;
+    known_progress.sequence = told.sequence;
+    known_progress.has_data = true;
+}
+
+void tag_router::note_answered(time_point at, tagged_upstream& upstream)
+{
+    tagged_upstreams::note_answered(at, upstream);
+    this->domains.note_answered(at, upstream.domain);
+}
+
+void tag_router::note_silent(time_point now, tagged_upstream& upstream)
+{
+    tagged_upstreams::note_silent(now, upstream);
+    this->domains.note_silent(
+        now, upstream.domain, this->known.count_silent(upstream.domain));
+}
+
+duration tag_router::idle_timeout() const
+{
+    return this->routes == nullptr ? this->settings.idle_timeout
+                                   : this->routes->idle_timeout;
 }
 
 void tag_router::remember(flow_id flow, tagged_flow const& added)
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -3,6 +3,8 @@
 #include <event/effect.hpp>
 #include <event/event.hpp>
 #include <event/settings.hpp>
+#include <tagging/domain_watch.hpp>
+#include <tagging/pending_openings.hpp>
 #include <tagging/tagged_flows.hpp>
 #include <tagging/tagged_upstreams.hpp>
 
@@ -22,7 +24,10 @@
 {
 public:
     /// Precondition: the settings outlive the object.
-    tag_router(tagging_settings const& settings, std::uint64_t seed);
+    tag_router(
+        tagging_settings const& settings,
+        failure_domain_id own_domain,
+        std::uint64_t seed);
 
     /// New listings are in force; null ones are ignored. No precondition.
     void set_listings(
@@ -35,6 +40,20 @@
     void
     route(time_point now, packet_arrived const& packet, effect_list& effects);
 
+    /// Does what is due: sends openings again that nobody confirmed, and draws
+    /// conclusions about failure domains. No precondition.
+    void advance(time_point now, effect_list& effects);
+
+    /// When `advance` should be called, if at all. No precondition.
+    [[nodiscard]] std::optional<time_point> next_due() const;
+
+    /// A VM of the failure domain said something. No precondition.
+    void note_heard(time_point now, failure_domain_id domain);
+
+    /// Failure domains whose VMs are to be asked whether they can be reached,
+    /// since the last call. No precondition.
+    [[nodiscard]] std::vector<failure_domain_id> take_questions();
+
     /// Forgets what is over. No precondition.
     void tick(time_point now);
 
@@ -51,7 +70,7 @@
 private:
     void route_opening(
         time_point now, packet_arrived const& packet, effect_list& effects);
-    void repeat_opening(
+    void route_copy(
         time_point now,
         packet_arrived const& packet,
         tagged_flow& flow,
@@ -61,13 +80,36 @@
         packet_arrived const& packet,
         upstream_tag excluded,
         effect_list& effects);
+    [[nodiscard]] tagged_upstream* choose(
+        time_point now,
+        endpoint const& destination,
+        flow_id flow,
+        upstream_tag excluded);
+    void await_answer(time_point now, packet_arrived const& packet);
+    void retry(time_point now, pending_opening opening, effect_list& effects);
+    void report_verdicts(effect_list& effects);
     void route_by_tag(
         time_point now, packet_arrived const& packet, effect_list& effects);
-    void follow(time_point now, packet_arrived const& packet);
-    void confirm(time_point now, tagged_flow& flow);
+    [[nodiscard]] upstream_tag tag_in_force(packet_arrived const& packet) const;
+    [[nodiscard]] bool must_reset(
+        packet_arrived const& packet, tagged_upstream const& upstream) const;
+    void follow(
+        time_point now,
+        packet_arrived const& packet,
+        tagged_upstream& upstream);
+    [[nodiscard]] tagged_flow*
+    enter(time_point now, packet_arrived const& packet, upstream_tag tag);
+    void note_progress(
+        time_point now,
+        packet_arrived const& packet,
+        tagged_flow& flow,
+        tagged_upstream& upstream);
+    void note_answered(time_point at, tagged_upstream& upstream);
+    void note_silent(time_point now, tagged_upstream& upstream);
     void remember(flow_id flow, tagged_flow const& added);
     void forget(flow_id flow);
     void uncount(tagged_flow const& flow);
+    [[nodiscard]] duration idle_timeout() const;
     [[nodiscard]] std::string_view
     pool_of(published_route const& route, flow_id flow) const;
     static void send(
@@ -79,8 +121,10 @@
     std::shared_ptr<route_listing const> routes;
     std::shared_ptr<upstream_listing const> listed;
     absl::flat_hash_map<endpoint, published_route const*> route_by_address;
+    domain_watch domains;
     tagged_upstreams known;
     tagged_flows flows;
+    pending_openings unconfirmed;
     time_point next_cleaning_at;
 };
 
--- a/libraries/tagging/tagged_flows.cpp
+++ b/libraries/tagging/tagged_flows.cpp
@@ -13,6 +13,12 @@
     return found == this->flows.end() ? nullptr : &found->second;
 }
 
+tagged_flow const* tagged_flows::find(flow_id flow) const
+{
+    auto const found = this->flows.find(flow);
+    return found == this->flows.end() ? nullptr : &found->second;
+}
+
 tagged_flow* tagged_flows::insert(flow_id flow, tagged_flow const& added)
 {
     if (this->flows.size() >= this->maximum)
--- a/libraries/tagging/tagged_flows.hpp
+++ b/libraries/tagging/tagged_flows.hpp
@@ -2,9 +2,11 @@
 
 #include <base/identifiers.hpp>
 #include <base/time.hpp>
+#include <event/event.hpp>
 #include <registry/tag.hpp>
 
 #include <absl/container/flat_hash_map.h>
+#include <optional>
 #include <vector>
 
 namespace cairnhead
@@ -28,6 +30,12 @@
     /// When this VM sent the opening last.
     time_point opened_at;
     time_point expires_at;
+    /// The other of two upstreams that got the opening; zero for none.
+    upstream_tag also_asked;
+    /// How far the flow has come, as far as packets told here.
+    std::optional<flow_progress> progress;
+    /// When its latest packet came.
+    time_point seen_at;
 };
 
 /// The flows that pass this VM now. A flow that moves to another VM needs no
@@ -42,6 +50,7 @@
     /// The flow's entry, or nullptr; valid until the next change.
     /// No precondition.
     [[nodiscard]] tagged_flow* find(flow_id flow);
+    [[nodiscard]] tagged_flow const* find(flow_id flow) const;
 
     /// Adds a flow, unless the table is full: then nullptr.
     /// Precondition: the flow has no entry.
--- a/libraries/tagging/tagged_upstreams.cpp
+++ b/libraries/tagging/tagged_upstreams.cpp
@@ -1,5 +1,7 @@
 #include <tagging/tagged_upstreams.hpp>
 
+#include <base/hash.hpp>
+
 #include <algorithm>
 
 namespace cairnhead
@@ -20,8 +22,10 @@
 } // namespace
 
 tagged_upstreams::tagged_upstreams(
-    tagging_settings const& chosen, std::uint64_t seed)
-    : settings(chosen), random(seed)
+    tagging_settings const& chosen,
+    domain_watch const& watched,
+    std::uint64_t seed)
+    : settings(chosen), domains(watched), random(seed)
 {
 }
 
@@ -56,6 +60,7 @@
     {
         known = &this->upstreams.emplace_back();
         known->tag = tag_of(registered.instance);
+        known->domain = make_failure_domain_id(registered.failure_domain);
         known->cold_until =
             now + std::chrono::milliseconds(registered.cold_milliseconds);
         this->by_tag[known->tag] = this->upstreams.size() - 1;
@@ -139,7 +144,9 @@
             now < *upstream.missing_since + this->settings.missing_grace;
         return may_live ? standing::missing : standing::unusable;
     }
-    return now < upstream.avoided_until ? standing::avoided : standing::ready;
+    bool const is_avoided = now < upstream.avoided_until ||
+                            this->domains.is_unreachable(upstream.domain);
+    return is_avoided ? standing::avoided : standing::ready;
 }
 
 double
@@ -159,14 +166,44 @@
     duration const wanted =
         this->settings.avoidance_minimum * (1LL << doublings);
     ++upstream.failures;
+    note_silent(now, upstream);
     upstream.avoided_until =
         now + std::min(wanted, this->settings.avoidance_maximum);
 }
 
-void tagged_upstreams::note_answered(time_point now, tagged_upstream& upstream)
+void tagged_upstreams::note_answered(time_point at, tagged_upstream& upstream)
 {
+    upstream.answered_at = std::max(upstream.answered_at, at);
+    if (upstream.silent_since && at < *upstream.silent_since)
+        return;
     upstream.failures = 0;
-    upstream.avoided_until = std::min(upstream.avoided_until, now);
+    upstream.avoided_until = std::min(upstream.avoided_until, at);
+    upstream.silent_since.reset();
+}
+
+void tagged_upstreams::note_silent(time_point now, tagged_upstream& upstream)
+{
+    if (!upstream.silent_since)
+        upstream.silent_since = now;
+}
+
+std::size_t tagged_upstreams::count_silent(failure_domain_id domain) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->upstreams,
+        [domain](tagged_upstream const& one)
+        {
+            return one.domain == domain && one.silent_since &&
+                   !one.missing_since;
+        }));
+}
+
+std::string tagged_upstreams::name_of(failure_domain_id domain) const
+{
+    auto const found =
+        std::ranges::find(this->upstreams, domain, &tagged_upstream::domain);
+    return found == this->upstreams.end() ? std::string()
+                                          : found->registered.failure_domain;
 }
 
 std::span<tagged_upstream const> tagged_upstreams::all() const
--- a/libraries/tagging/tagged_upstreams.hpp
+++ b/libraries/tagging/tagged_upstreams.hpp
@@ -2,6 +2,7 @@
 
 #include <event/settings.hpp>
 #include <registry/tag.hpp>
+#include <tagging/domain_watch.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <map>
@@ -19,6 +20,7 @@
 {
     registered_upstream registered;
     upstream_tag tag;
+    failure_domain_id domain;
     /// Set while the registry does not have it.
     std::optional<time_point> missing_since;
     time_point cold_until;
@@ -28,6 +30,10 @@
     time_point avoided_until;
     /// Flows that this VM passes on to it.
     std::uint32_t flows = 0;
+    /// When callers' packets last showed that it sent something.
+    time_point answered_at;
+    /// Since then a caller had to repeat itself; set by the first repetition.
+    std::optional<time_point> silent_since;
 };
 
 /// The upstreams that the registry has or had lately, by tag and by pool.
@@ -36,7 +42,10 @@
 {
 public:
     /// Precondition: the settings outlive the object.
-    tagged_upstreams(tagging_settings const& settings, std::uint64_t seed);
+    tagged_upstreams(
+        tagging_settings const& settings,
+        domain_watch const& watched,
+        std::uint64_t seed);
 
     /// Takes in what the registry has now. No precondition.
     void update(time_point now, upstream_listing const& listing);
@@ -55,11 +64,21 @@
     [[nodiscard]] tagged_upstream*
     choose(time_point now, std::string_view pool, upstream_tag excluded);
 
+    /// A caller had to repeat itself. No precondition.
+    static void note_silent(time_point now, tagged_upstream& upstream);
+
+    /// How many upstreams of the domain are silent. No precondition.
+    [[nodiscard]] std::size_t count_silent(failure_domain_id domain) const;
+
     /// An opening was not answered. No precondition.
     void note_unanswered(time_point now, tagged_upstream& upstream) const;
 
-    /// An opening was answered. No precondition.
-    static void note_answered(time_point now, tagged_upstream& upstream);
+    /// It answered a caller at that moment, or later. No precondition.
+    static void note_answered(time_point at, tagged_upstream& upstream);
+
+    /// The failure domain's name, for people; empty when no upstream is in it.
+    /// No precondition.
+    [[nodiscard]] std::string name_of(failure_domain_id domain) const;
 
     /// All that are known. No precondition.
     [[nodiscard]] std::span<tagged_upstream const> all() const;
@@ -83,6 +102,7 @@
     void rebuild_index();
 
     tagging_settings const& settings;
+    domain_watch const& domains;
     std::mt19937_64 random;
     std::vector<tagged_upstream> upstreams;
     absl::flat_hash_map<upstream_tag, std::size_t> by_tag;
--- a/services/cairnhead/run_command.cpp
+++ b/services/cairnhead/run_command.cpp
@@ -14,7 +14,11 @@
     std::string const path = absl::GetFlag(FLAGS_settings);
     if (path.empty())
         throw usage_error(usage_error_kind::missing_flag, "--settings");
-    daemon served(parse_settings(read_text_file(path)));
+    auto const read = [&path]
+    {
+        return parse_settings(read_text_file(path));
+    };
+    daemon served(read(), read);
     served.run();
     return exit_code::success;
 }
