Tagging: Prefer upstreams of the VM's own failure domain

Cause: three of four flows crossed failure domains, so a zone cut broke them; a request that must not run twice cannot be tried again on another flow.

Ruled out: strict affinity (a domain with more callers than upstreams would overload its own); gossip of loads, for now.

Change: an upstream elsewhere counts as remote_load_factor times as loaded.

--- a/libraries/event/settings.hpp
+++ b/libraries/event/settings.hpp
@@ -146,6 +146,9 @@
     duration avoidance_maximum = 8s;
     /// Flows that were silent for longer count no more as load.
     duration idle_timeout = 15s;
+    /// An upstream of another failure domain counts as this many times as
+    /// loaded: flows that stay within a domain outlive its being cut off.
+    std::uint32_t remote_load_factor = 8;
     /// Share of a cold upstream, percent.
     std::uint32_t cold_share_percent = 60;
     /// More flows than these are routed, but not remembered.
--- a/libraries/settings/section_fields.hpp
+++ b/libraries/settings/section_fields.hpp
@@ -276,7 +276,7 @@
     using durations = duration_field<section>;
     using numbers = number_field<section>;
 
-    static constexpr std::array<section_field<section>, 12> fields = {{
+    static constexpr std::array<section_field<section>, 13> fields = {{
         durations{
             "upstream_retention", &section::upstream_retention,
             shortest_duration, longest_lifetime},
@@ -305,6 +305,7 @@
         durations{
             "idle_timeout", &section::idle_timeout, shortest_duration,
             longest_lifetime},
+        numbers{"remote_load_factor", &section::remote_load_factor, 1, 1'000},
         numbers{
             "cold_share_percent", &section::cold_share_percent, 1,
             hundred_percent},
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -38,7 +38,7 @@
     failure_domain_id own_domain,
     std::uint64_t seed)
     : settings(chosen), domains(chosen, own_domain),
-      known(chosen, this->domains, seed), flows(chosen.maximum_flows)
+      known(chosen, this->domains, own_domain, seed), flows(chosen.maximum_flows)
 {
 }
 
--- a/libraries/tagging/tagged_upstreams.cpp
+++ b/libraries/tagging/tagged_upstreams.cpp
@@ -24,8 +24,9 @@
 tagged_upstreams::tagged_upstreams(
     tagging_settings const& chosen,
     domain_watch const& watched,
+    failure_domain_id own,
     std::uint64_t seed)
-    : settings(chosen), domains(watched), random(seed)
+    : settings(chosen), domains(watched), own_domain(own), random(seed)
 {
 }
 
@@ -156,7 +157,11 @@
                              ? this->settings.cold_share_percent / whole_percent
                              : 1.0;
     double const slots = std::max(upstream.registered.slots, std::uint32_t{1});
-    return (upstream.flows + 1) / (slots * share);
+    double const distance =
+        upstream.domain == this->own_domain
+            ? 1.0
+            : static_cast<double>(this->settings.remote_load_factor);
+    return distance * (upstream.flows + 1) / (slots * share);
 }
 
 void tagged_upstreams::note_unanswered(
--- a/libraries/tagging/tagged_upstreams.hpp
+++ b/libraries/tagging/tagged_upstreams.hpp
@@ -45,6 +45,7 @@
     tagged_upstreams(
         tagging_settings const& settings,
         domain_watch const& watched,
+        failure_domain_id own,
         std::uint64_t seed);
 
     /// Takes in what the registry has now. No precondition.
@@ -103,6 +104,7 @@
 
     tagging_settings const& settings;
     domain_watch const& domains;
+    failure_domain_id own_domain;
     std::mt19937_64 random;
     std::vector<tagged_upstream> upstreams;
     absl::flat_hash_map<upstream_tag, std::size_t> by_tag;
