Tagging: Check silent upstreams, and end the flows of those out of reach

Cause: when upstreams crash, each of their flows costs one request that waits until the caller's own time is over; what must not run twice cannot be tried again.

Ruled out: waiting for the registry to drop the entry (about four seconds); judging by silence alone (a slow upstream is silent, too).

All upstreams of a failure domain that is out of reach are checked so. Unanswered openings make an upstream avoided again.

--- a/libraries/event/effect.hpp
+++ b/libraries/event/effect.hpp
@@ -71,6 +71,24 @@
     packet_token token;
 };
 
+/// End a flow at its caller while no packet of it is at hand.
+struct reset_known_flow
+{
+    endpoint caller;
+    endpoint destination;
+    /// What the caller acknowledged last: it takes only a reset near that.
+    std::uint32_t acknowledged = 0;
+};
+
+/// Find out whether an upstream can be reached at all, by connecting to it;
+/// exactly one `upstream_checked` answers.
+struct check_upstream
+{
+    upstream_tag upstream;
+    ipv4_address address;
+    std::uint16_t port = 0;
+};
+
 /// Send an opening that arrived earlier once more. No packet waits for it.
 struct repeat_opening
 {
@@ -173,6 +191,8 @@
     upstream_restored,
     domain_unreachable,
     domain_reachable,
+    upstream_unreachable,
+    upstream_reachable,
     leave_started,
     leave_finished,
     pin_conflict,
@@ -192,7 +212,9 @@
     send_to_upstream,
     send_tagged,
     reset_flow,
+    reset_known_flow,
     repeat_opening,
+    check_upstream,
     send_to_peer,
     refuse_opening,
     drop_packet,
--- a/libraries/event/event.hpp
+++ b/libraries/event/event.hpp
@@ -55,6 +55,8 @@
     std::optional<peer_frame> frame;
     /// Absent where the fabric's packets carry no tags. Zero in an opening.
     std::optional<upstream_tag> tag{};
+    /// With a tag only: the caller's address and port.
+    endpoint source{};
     /// With a tag only.
     flow_progress progress{};
     /// With a tag only: the whole of an opening, to be sent again to another
@@ -81,6 +83,23 @@
 {
 };
 
+/// How an attempt to connect to an upstream ended.
+enum class connection_outcome : std::uint8_t
+{
+    connected,
+    /// Its machine answered that nobody listens.
+    refused,
+    /// Nothing came back in time.
+    unanswered,
+};
+
+/// A `check_upstream` ended.
+struct upstream_checked
+{
+    upstream_tag upstream;
+    connection_outcome outcome = connection_outcome::connected;
+};
+
 /// The operator changed the settings: VMs to ask may be found there.
 struct seeds_changed
 {
@@ -144,6 +163,7 @@
         control_arrived,
         tick,
         deadline_reached,
+        upstream_checked,
         seeds_changed,
         started,
         leave_requested,
--- a/libraries/event/settings.hpp
+++ b/libraries/event/settings.hpp
@@ -140,6 +140,10 @@
     duration silence_timeout = 400ms;
     /// It is out of reach when none of its VMs answers within this.
     duration ask_timeout = 150ms;
+    /// A silent upstream that answered nobody for this long is checked.
+    duration check_after = 250ms;
+    /// How often a silent upstream is checked again.
+    duration check_period = 1s;
     /// How long an upstream that left an opening unanswered is avoided;
     /// doubles with each one up to the maximum.
     duration avoidance_minimum = 1s;
--- a/libraries/observability/effect_text.hpp
+++ b/libraries/observability/effect_text.hpp
@@ -138,6 +138,10 @@
         return "domain_unreachable";
     case report_kind::domain_reachable:
         return "domain_reachable";
+    case report_kind::upstream_unreachable:
+        return "upstream_unreachable";
+    case report_kind::upstream_reachable:
+        return "upstream_reachable";
     case report_kind::leave_started:
         return "leave_started";
     case report_kind::leave_finished:
--- a/libraries/observability/log_report.cpp
+++ b/libraries/observability/log_report.cpp
@@ -25,6 +25,8 @@
         return "document";
     case report_kind::upstream_ejected:
     case report_kind::upstream_restored:
+    case report_kind::upstream_unreachable:
+    case report_kind::upstream_reachable:
         return "upstream";
     case report_kind::domain_unreachable:
     case report_kind::domain_reachable:
@@ -50,6 +52,7 @@
     case report_kind::platform_stale:
     case report_kind::upstream_ejected:
     case report_kind::domain_unreachable:
+    case report_kind::upstream_unreachable:
     case report_kind::pin_conflict:
         return log_level::warning;
     default:
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -202,6 +202,12 @@
     this->ask_domains(out);
 }
 
+void reducer::handle(
+    time_point now, upstream_checked const& body, effect_list& out)
+{
+    this->tagged.receive(now, body, out);
+}
+
 void reducer::handle(
     time_point now, seeds_changed const& body, effect_list& out)
 {
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -65,6 +65,7 @@
     void handle(time_point now, control_arrived const& body, effect_list& out);
     void handle(time_point now, tick const& body, effect_list& out);
     void handle(time_point now, deadline_reached const& body, effect_list& out);
+    void handle(time_point now, upstream_checked const& body, effect_list& out);
     void handle(time_point now, seeds_changed const& body, effect_list& out);
     void handle(time_point now, started const& body, effect_list& out);
     void handle(time_point now, leave_requested const& body, effect_list& out);
--- a/libraries/runtime/effect_executor.cpp
+++ b/libraries/runtime/effect_executor.cpp
@@ -1,5 +1,7 @@
 #include <runtime/effect_executor.hpp>
 
+#include <runtime/clocks.hpp>
+
 #include <observability/log_report.hpp>
 #include <runtime/datagram_fault.hpp>
 
@@ -69,6 +71,15 @@
     ++this->counted.dropped;
 }
 
+void effect_executor::carry_out(reset_known_flow const& wanted)
+{
+    packet_view answered;
+    answered.source = wanted.caller;
+    answered.destination = wanted.destination;
+    answered.tcp_acknowledgement = wanted.acknowledged;
+    this->parts.sender.reset_tagged(answered);
+}
+
 void effect_executor::carry_out(repeat_opening const& wanted)
 {
     packet_view packet;
@@ -77,6 +88,11 @@
     ++this->counted.to_upstream;
 }
 
+void effect_executor::carry_out(check_upstream const& wanted)
+{
+    this->parts.checks.start(wanted, monotonic_now());
+}
+
 void effect_executor::carry_out(send_to_peer const& wanted)
 {
     packet_view const packet = this->parts.packets.take(wanted.token);
--- a/libraries/runtime/effect_executor.hpp
+++ b/libraries/runtime/effect_executor.hpp
@@ -4,6 +4,7 @@
 #include <event/effect.hpp>
 #include <observability/logger.hpp>
 #include <observability/packet_counters.hpp>
+#include <runtime/connection_checker.hpp>
 #include <runtime/event_loop.hpp>
 #include <runtime/packet_pool.hpp>
 #include <runtime/packet_sender.hpp>
@@ -20,6 +21,7 @@
     packet_sender& sender;
     refuser& refusals;
     remote_calls& calls;
+    connection_checker& checks;
     packet_counters& counters;
     logger& log;
     event_loop& loop;
@@ -45,7 +47,9 @@
     void carry_out(send_to_upstream const& wanted);
     void carry_out(send_tagged const& wanted);
     void carry_out(reset_flow const& wanted);
+    void carry_out(reset_known_flow const& wanted);
     void carry_out(repeat_opening const& wanted);
+    void carry_out(check_upstream const& wanted);
     void carry_out(send_to_peer const& wanted);
     void carry_out(refuse_opening const& wanted);
     void carry_out(drop_packet const& wanted);
--- a/libraries/runtime/packet_thread.cpp
+++ b/libraries/runtime/packet_thread.cpp
@@ -34,7 +34,7 @@
       refusals(settings, this->sender),
       executor(
           {this->packets, this->sender, this->refusals, services.calls,
-           this->counters, services.log, this->loop}),
+           this->checks, this->counters, services.log, this->loop}),
       driver(settings, this->packets, this->executor),
       intake(
           settings,
@@ -106,6 +106,7 @@
 {
     this->ticks.acknowledge();
     this->driver.refresh_time();
+    this->take_checks();
     this->driver.apply(tick{});
     this->carry_out();
     this->shared.measured.flush(this->counters);
@@ -122,6 +123,13 @@
     this->carry_out();
 }
 
+void packet_thread::take_checks()
+{
+    for (upstream_checked const& ended :
+         this->checks.take_ended(this->driver.now()))
+        this->driver.apply(ended);
+}
+
 void packet_thread::take_from_fabric()
 {
     this->intake.take_from_fabric();
--- a/libraries/runtime/packet_thread.hpp
+++ b/libraries/runtime/packet_thread.hpp
@@ -2,6 +2,7 @@
 
 #include <observability/logger.hpp>
 #include <observability/metrics.hpp>
+#include <runtime/connection_checker.hpp>
 #include <runtime/deadline_timer.hpp>
 #include <runtime/effect_executor.hpp>
 #include <runtime/event_loop.hpp>
@@ -62,6 +63,7 @@
     void watch_sources();
     void take_tick();
     void take_deadline();
+    void take_checks();
     void take_from_fabric();
     void take_signals();
     void reread_settings();
@@ -83,6 +85,7 @@
     event_loop loop;
     tick_timer ticks;
     deadline_timer deadlines;
+    connection_checker checks;
     effect_executor executor;
     reducer_driver driver;
     traffic_intake intake;
--- a/libraries/runtime/reducer_driver.cpp
+++ b/libraries/runtime/reducer_driver.cpp
@@ -34,6 +34,7 @@
     arrived.token = this->packets.hold(packet);
     arrived.frame = frame;
     arrived.tag = packet.tag;
+    arrived.source = packet.source;
     arrived.progress = {
         packet.tcp_sequence, packet.tcp_acknowledgement,
         !packet.payload.empty()};
--- a/libraries/settings/section_fields.hpp
+++ b/libraries/settings/section_fields.hpp
@@ -276,7 +276,7 @@
     using durations = duration_field<section>;
     using numbers = number_field<section>;
 
-    static constexpr std::array<section_field<section>, 13> fields = {{
+    static constexpr std::array<section_field<section>, 15> fields = {{
         durations{
             "upstream_retention", &section::upstream_retention,
             shortest_duration, longest_lifetime},
@@ -296,6 +296,12 @@
         durations{
             "ask_timeout", &section::ask_timeout, shortest_duration,
             longest_timeout},
+        durations{
+            "check_after", &section::check_after, shortest_duration,
+            longest_timeout},
+        durations{
+            "check_period", &section::check_period, shortest_duration,
+            longest_timeout},
         durations{
             "avoidance_minimum", &section::avoidance_minimum, shortest_duration,
             longest_timeout},
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -1,6 +1,7 @@
 #include <tagging/tag_router.hpp>
 
 #include <base/hash.hpp>
+#include <base/ipv4.hpp>
 
 #include <numeric>
 
@@ -38,7 +39,8 @@
     failure_domain_id own_domain,
     std::uint64_t seed)
     : settings(chosen), domains(chosen, own_domain),
-      known(chosen, this->domains, own_domain, seed), flows(chosen.maximum_flows)
+      known(chosen, this->domains, own_domain, seed),
+      flows(chosen.maximum_flows)
 {
 }
 
@@ -67,8 +69,10 @@
     bool const is_opening = packet.phase == packet_phase::opening ||
                             packet.phase == packet_phase::opening_with_data;
     if (is_opening)
-        return this->route_opening(now, packet, effects);
-    this->route_by_tag(now, packet, effects);
+        this->route_opening(now, packet, effects);
+    else
+        this->route_by_tag(now, packet, effects);
+    this->check_silent(now, effects);
 }
 
 void tag_router::route_opening(
@@ -100,7 +104,7 @@
     if (upstream != nullptr && !is_unanswered)
         return send(packet, *upstream, effects);
     if (upstream != nullptr)
-        this->note_silent(now, *upstream);
+        this->note_unanswered(now, *upstream);
     upstream_tag const excluded = flow.upstream;
     this->forget(packet.flow);
     // An opening carries no data, and the caller answers the first upstream
@@ -133,7 +137,9 @@
         return;
     }
     this->remember(
-        packet.flow, {.upstream = chosen->tag,
+        packet.flow, {.caller = packet.source,
+                      .destination = packet.destination,
+                      .upstream = chosen->tag,
                       .state = tagged_flow_state::opening,
                       .opened_at = now,
                       .expires_at = now + opening_lifetime,
@@ -179,6 +185,73 @@
         this->retry(now, std::move(*due), effects);
     this->domains.advance(now);
     this->report_verdicts(effects);
+    this->check_silent(now, effects);
+}
+
+void tag_router::check_silent(time_point now, effect_list& effects)
+{
+    for (upstream_tag const tag : this->suspects)
+    {
+        tagged_upstream* const suspect = this->known.find(tag);
+        bool const is_suspect = suspect != nullptr &&
+                                (suspect->silent_since ||
+                                 this->domains.is_unreachable(suspect->domain));
+        bool const is_due =
+            is_suspect && !suspect->is_being_checked &&
+            now >= suspect->next_check_at &&
+            now >= suspect->answered_at + this->settings.check_after;
+        if (!is_due)
+            continue;
+        suspect->is_being_checked = true;
+        suspect->next_check_at = now + this->settings.check_period;
+        registered_upstream const& at = suspect->registered;
+        effects.emplace_back(check_upstream{tag, at.address, at.port});
+    }
+    this->suspects.clear();
+}
+
+void tag_router::receive(
+    time_point now, upstream_checked const& result, effect_list& effects)
+{
+    tagged_upstream* const upstream = this->known.find(result.upstream);
+    if (upstream == nullptr)
+        return;
+    upstream->is_being_checked = false;
+    // Where nobody listens, the machine itself resets flows: it needs no help.
+    // One that answered a caller while the check ran is there after all.
+    bool const is_suspect = upstream->silent_since ||
+                            this->domains.is_unreachable(upstream->domain);
+    bool const is_unreachable =
+        result.outcome == connection_outcome::unanswered && is_suspect &&
+        now >= upstream->answered_at + this->settings.check_after;
+    if (result.outcome == connection_outcome::refused)
+        this->known.note_unanswered(now, *upstream);
+    if (upstream->is_unreachable == is_unreachable)
+        return;
+    upstream->is_unreachable = is_unreachable;
+    auto const kind = is_unreachable ? report_kind::upstream_unreachable
+                                     : report_kind::upstream_reachable;
+    effects.emplace_back(
+        report{kind, format_ipv4(upstream->registered.address), {}});
+    if (is_unreachable)
+        this->end_flows_of(*upstream, effects);
+}
+
+void tag_router::end_flows_of(tagged_upstream& upstream, effect_list& effects)
+{
+    // A caller that sends its next request on such a flow waits until its own
+    // time is over, and may not repeat what must not run twice. One whose idle
+    // flow ends opens another.
+    this->flows.remove_open(
+        upstream.tag,
+        [&effects](tagged_flow const& flow)
+        {
+            if (!flow.progress)
+                return;
+            effects.emplace_back(reset_known_flow{
+                flow.caller, flow.destination, flow.progress->acknowledged});
+        });
+    upstream.flows = 0;
 }
 
 void tag_router::retry(
@@ -194,20 +267,23 @@
     // time most requests of interest to people are late already.
     upstream_tag const silent = flow->upstream;
     if (tagged_upstream* const asked = this->known.find(silent))
-        this->note_silent(now, *asked);
+        this->note_unanswered(now, *asked);
     tagged_upstream const* const chosen =
         this->choose(now, opening.destination, opening.flow, silent);
     if (chosen == nullptr)
         return;
+    endpoint const caller = flow->caller;
     this->forget(opening.flow);
     this->remember(
-        opening.flow, {.upstream = chosen->tag,
+        opening.flow, {.caller = caller,
+                       .destination = opening.destination,
+                       .upstream = chosen->tag,
                        .state = tagged_flow_state::opening,
                        .opened_at = now,
                        .expires_at = now + opening_lifetime,
                        .also_asked = silent,
                        .progress = {},
-                      .seen_at = now});
+                       .seen_at = now});
     registered_upstream const& at = chosen->registered;
     effects.emplace_back(repeat_opening{
         opening.bytes, {at.address, at.port, at.instance}, chosen->tag});
@@ -225,6 +301,17 @@
                               : report_kind::domain_reachable;
         effects.emplace_back(
             report{kind, this->known.name_of(changed.domain), {}});
+        if (changed.is_unreachable)
+            this->suspect_all(changed.domain);
+    }
+}
+
+void tag_router::suspect_all(failure_domain_id domain)
+{
+    for (tagged_upstream const& one : this->known.all())
+    {
+        if (one.domain == domain && !one.missing_since)
+            this->suspects.push_back(one.tag);
     }
 }
 
@@ -283,8 +370,9 @@
 bool tag_router::must_reset(
     packet_arrived const& packet, tagged_upstream const& upstream) const
 {
-    return packet.progress.has_data && upstream.silent_since &&
-           this->domains.is_unreachable(upstream.domain);
+    bool const is_out_of_reach = upstream.is_unreachable ||
+                                 this->domains.is_unreachable(upstream.domain);
+    return packet.progress.has_data && upstream.silent_since && is_out_of_reach;
 }
 
 void tag_router::follow(
@@ -323,7 +411,9 @@
         flow != nullptr && flow->state == tagged_flow_state::opening;
     this->forget(packet.flow);
     this->remember(
-        packet.flow, {.upstream = tag,
+        packet.flow, {.caller = packet.source,
+                      .destination = packet.destination,
+                      .upstream = tag,
                       .state = was_opening ? tagged_flow_state::opening
                                            : tagged_flow_state::established,
                       .opened_at = now - copy_window,
@@ -352,12 +442,10 @@
     // ends idle flows unasked. And a caller acknowledges a short answer only
     // with its next request or its end, which may come seconds later. Taken
     // for news, either would hide that a failure domain is cut off.
-    bool const is_late =
-        told.has_data || packet.phase == packet_phase::closing;
+    bool const is_late = told.has_data || packet.phase == packet_phase::closing;
     time_point const answered_at = is_late ? flow.seen_at : now;
-    bool const is_answered =
-        told.acknowledged != known_progress.acknowledged &&
-        flow.state != tagged_flow_state::closing;
+    bool const is_answered = told.acknowledged != known_progress.acknowledged &&
+                             flow.state != tagged_flow_state::closing;
     if (is_answered)
         this->note_answered(answered_at, upstream);
     // Numbers wrap around, so their difference tells which comes first.
@@ -380,9 +468,16 @@
     this->domains.note_answered(at, upstream.domain);
 }
 
+void tag_router::note_unanswered(time_point now, tagged_upstream& upstream)
+{
+    this->known.note_unanswered(now, upstream);
+    this->note_silent(now, upstream);
+}
+
 void tag_router::note_silent(time_point now, tagged_upstream& upstream)
 {
     tagged_upstreams::note_silent(now, upstream);
+    this->suspects.push_back(upstream.tag);
     this->domains.note_silent(
         now, upstream.domain, this->known.count_silent(upstream.domain));
 }
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -50,6 +50,10 @@
     /// A VM of the failure domain said something. No precondition.
     void note_heard(time_point now, failure_domain_id domain);
 
+    /// A check of an upstream ended. No precondition.
+    void receive(
+        time_point now, upstream_checked const& result, effect_list& effects);
+
     /// Failure domains whose VMs are to be asked whether they can be reached,
     /// since the last call. No precondition.
     [[nodiscard]] std::vector<failure_domain_id> take_questions();
@@ -88,6 +92,9 @@
     void await_answer(time_point now, packet_arrived const& packet);
     void retry(time_point now, pending_opening opening, effect_list& effects);
     void report_verdicts(effect_list& effects);
+    void check_silent(time_point now, effect_list& effects);
+    void suspect_all(failure_domain_id domain);
+    void end_flows_of(tagged_upstream& upstream, effect_list& effects);
     void route_by_tag(
         time_point now, packet_arrived const& packet, effect_list& effects);
     [[nodiscard]] upstream_tag tag_in_force(packet_arrived const& packet) const;
@@ -105,6 +112,7 @@
         tagged_flow& flow,
         tagged_upstream& upstream);
     void note_answered(time_point at, tagged_upstream& upstream);
+    void note_unanswered(time_point now, tagged_upstream& upstream);
     void note_silent(time_point now, tagged_upstream& upstream);
     void remember(flow_id flow, tagged_flow const& added);
     void forget(flow_id flow);
@@ -125,6 +133,8 @@
     tagged_upstreams known;
     tagged_flows flows;
     pending_openings unconfirmed;
+    /// Upstreams that became silent and were not looked at since.
+    std::vector<upstream_tag> suspects;
     time_point next_cleaning_at;
 };
 
--- a/libraries/tagging/tagged_flows.hpp
+++ b/libraries/tagging/tagged_flows.hpp
@@ -25,6 +25,8 @@
 /// A flow whose packets pass this VM.
 struct tagged_flow
 {
+    endpoint caller;
+    endpoint destination;
     upstream_tag upstream;
     tagged_flow_state state = tagged_flow_state::opening;
     /// When this VM sent the opening last.
@@ -75,6 +77,25 @@
             });
     }
 
+    /// Removes all flows of an upstream that the caller did not close, and
+    /// calls `on_removed` for each. No precondition.
+    template <typename Function>
+    void remove_open(upstream_tag upstream, Function const& on_removed)
+    {
+        absl::erase_if(
+            this->flows,
+            [&](auto const& entry)
+            {
+                tagged_flow const& flow = entry.second;
+                bool const is_meant =
+                    flow.upstream == upstream &&
+                    flow.state == tagged_flow_state::established;
+                if (is_meant)
+                    on_removed(flow);
+                return is_meant;
+            });
+    }
+
     /// No precondition.
     [[nodiscard]] std::size_t size() const;
 
--- a/libraries/tagging/tagged_upstreams.cpp
+++ b/libraries/tagging/tagged_upstreams.cpp
@@ -146,6 +146,7 @@
         return may_live ? standing::missing : standing::unusable;
     }
     bool const is_avoided = now < upstream.avoided_until ||
+                            upstream.is_unreachable ||
                             this->domains.is_unreachable(upstream.domain);
     return is_avoided ? standing::avoided : standing::ready;
 }
@@ -184,6 +185,7 @@
     upstream.failures = 0;
     upstream.avoided_until = std::min(upstream.avoided_until, at);
     upstream.silent_since.reset();
+    upstream.is_unreachable = false;
 }
 
 void tagged_upstreams::note_silent(time_point now, tagged_upstream& upstream)
--- a/libraries/tagging/tagged_upstreams.hpp
+++ b/libraries/tagging/tagged_upstreams.hpp
@@ -34,6 +34,11 @@
     time_point answered_at;
     /// Since then a caller had to repeat itself; set by the first repetition.
     std::optional<time_point> silent_since;
+    /// When it may be checked again.
+    time_point next_check_at;
+    bool is_being_checked = false;
+    /// The last check found nobody, and it has answered nobody since.
+    bool is_unreachable = false;
 };
 
 /// The upstreams that the registry has or had lately, by tag and by pool.
