--- a/libraries/registry/registry.cpp
+++ b/libraries/registry/registry.cpp
@@ -26,6 +26,17 @@
     return {bytes.begin(), bytes.size()};
 }
 
+/// The whole text: Cap'n Proto's own conversions end at the first zero byte.
+capnp::Text::Reader to_whole(std::string const& text)
+{
+    return {text.c_str(), text.size()};
+}
+
+std::string to_whole(capnp::Text::Reader text)
+{
+    return {text.begin(), text.end()};
+}
+
 void write(
     registered_upstream const& source,
     registry_schema::Upstream::Builder target)
@@ -36,8 +47,8 @@
     target.setIsDraining(source.is_draining);
     target.setSlots(source.slots);
     target.setColdMilliseconds(source.cold_milliseconds);
-    target.setPool(source.pool);
-    target.setFailureDomain(source.failure_domain);
+    target.setPool(to_whole(source.pool));
+    target.setFailureDomain(to_whole(source.failure_domain));
 }
 
 registered_upstream read(registry_schema::Upstream::Reader source)
@@ -49,8 +60,8 @@
         .is_draining = source.getIsDraining(),
         .slots = source.getSlots(),
         .cold_milliseconds = source.getColdMilliseconds(),
-        .pool = source.getPool(),
-        .failure_domain = source.getFailureDomain()};
+        .pool = to_whole(source.getPool()),
+        .failure_domain = to_whole(source.getFailureDomain())};
 }
 
 void write(
@@ -64,7 +75,7 @@
     unsigned index = 0;
     for (weighted_pool const& part : source.pools)
     {
-        pools[index].setPool(part.pool);
+        pools[index].setPool(to_whole(part.pool));
         pools[index].setWeight(part.weight);
         ++index;
     }
@@ -81,7 +92,7 @@
         .is_idempotent = source.getIsIdempotent(),
         .pools = {}};
     for (auto const part : source.getPools())
-        route.pools.push_back({part.getPool(), part.getWeight()});
+        route.pools.push_back({to_whole(part.getPool()), part.getWeight()});
     return route;
 }
 
@@ -89,6 +100,10 @@
 template <typename Reader>
 auto open_text(std::string_view text, Reader const& reader)
 {
+    // Cap'n Proto takes a text without words for a listing without entries:
+    // a VM that got one would forget all upstreams.
+    if (text.empty() || text.size() % sizeof(capnp::word) != 0)
+        throw registry_rejected();
     // Cap'n Proto reads words in place, and a text may begin anywhere.
     auto words = kj::heapArray<capnp::word>(text.size() / sizeof(capnp::word));
     std::memcpy(words.begin(), text.data(), words.asBytes().size());
@@ -97,6 +112,8 @@
         capnp::FlatArrayMessageReader message(
             words, {.traversalLimitInWords = traversal_words,
                     .nestingLimit = maximum_nesting});
+        if (message.getEnd() != words.end())
+            throw registry_rejected();
         return reader(message);
     }
     catch (kj::Exception const&)
