--- /dev/null
+++ b/tests/users_platform/test_store_mirror.cpp
@@ -0,0 +1,290 @@
+#include "samples.hpp"
+
+#include <platform/store_mirror.hpp>
+
+#include <criterion/criterion.h>
+#include <map>
+#include <random>
+
+using namespace cairnhead;
+using namespace cairnhead::samples;
+
+namespace
+{
+
+constexpr std::uint64_t seed = 20260101;
+
+store_item make_item(
+    std::string const& key,
+    std::uint64_t revision,
+    std::optional<std::string> value)
+{
+    return {key, store_revision(revision), std::move(value)};
+}
+
+store_item make_upstream_item(
+    int number, std::uint64_t revision, char const* state, int heartbeat = 0)
+{
+    return make_item(
+        "servers/i-" + std::to_string(number), revision,
+        make_value(
+            "10.0.0." + std::to_string(number) + ":80", state, heartbeat));
+}
+
+/// The upstreams of a document, without how cold they are: that falls all
+/// the time and readers may differ in it.
+std::vector<registered_upstream> content_of(store_mirror const& mirror)
+{
+    auto listing = decode_upstreams(mirror.upstreams_text());
+    for (registered_upstream& upstream : listing.upstreams)
+        upstream.cold_milliseconds = 0;
+    return listing.upstreams;
+}
+
+/// A mirror that has read two upstreams at revision 10.
+store_mirror make_mirror()
+{
+    store_mirror mirror;
+    mirror.replace_upstreams(
+        {{make_upstream_item(1, 4, "ready"), make_upstream_item(2, 7, "ready")},
+         store_revision(10),
+         false});
+    return mirror;
+}
+
+/// A store's whole history: the state after each revision.
+class history
+{
+public:
+    explicit history(std::uint64_t chosen_seed) : random(chosen_seed)
+    {
+    }
+
+    void change()
+    {
+        std::uint64_t const revision = this->states.size();
+        auto state = this->states.back();
+        int const number = 1 + static_cast<int>(this->random() % 5);
+        auto item = make_upstream_item(
+            number, revision, this->random() % 3 == 0 ? "draining" : "ready",
+            static_cast<int>(revision));
+        if (this->random() % 3 == 0)
+            item.value.reset();
+        state.erase(item.key);
+        if (item.value)
+            state.emplace(item.key, item);
+        this->events.push_back(item);
+        this->states.push_back(std::move(state));
+    }
+
+    [[nodiscard]] std::uint64_t revision() const
+    {
+        return this->states.size() - 1;
+    }
+
+    /// A complete read in pages of two: each shows the revision at which it
+    /// was read, which may lie ahead of the first page's.
+    [[nodiscard]] store_page read(std::uint64_t at)
+    {
+        store_page all{{}, store_revision(at), false};
+        std::string after;
+        for (std::uint64_t now = at;; now = this->later(now))
+        {
+            auto next = this->states[now].upper_bound(after);
+            for (int left = 2; left > 0; --left, ++next)
+            {
+                if (next == this->states[now].end())
+                    return all;
+                all.items.push_back(next->second);
+                after = next->first;
+            }
+        }
+    }
+
+    [[nodiscard]] store_item const& event(std::uint64_t revision) const
+    {
+        return this->events[revision - 1];
+    }
+
+private:
+    std::uint64_t later(std::uint64_t now)
+    {
+        return std::min(this->revision(), now + this->random() % 3);
+    }
+
+    std::mt19937_64 random;
+    std::vector<std::map<std::string, store_item>> states{{}};
+    std::vector<store_item> events;
+};
+
+/// One reader: what it read last, and the documents that it gave.
+struct reader
+{
+    store_mirror mirror;
+    std::uint64_t revision = 0;
+
+    void read_all(history& store, std::uint64_t at)
+    {
+        this->mirror.replace_upstreams(store.read(at));
+        this->revision = at;
+    }
+
+    void watch(history const& store, std::uint64_t until)
+    {
+        while (this->revision < until)
+            this->mirror.apply(store.event(++this->revision));
+    }
+};
+
+} // namespace
+
+Test(store_mirror, only_what_vms_decide_by_is_news)
+{
+    // Symptom: each VM sends the registry around many times a second, or a
+    // drained upstream goes on getting flows. Sequence: upstreams write their
+    // heartbeats. Cause: the wrong changes of an entry count.
+    struct table_entry
+    {
+        char const* name;
+        store_item item;
+        bool is_news;
+    };
+    std::string const value = make_value("10.0.0.1:80", "ready");
+    table_entry const table[] = {
+        {"heartbeat", make_upstream_item(1, 11, "ready", 5), false},
+        {"state", make_upstream_item(1, 11, "draining"), true},
+        {"address",
+         make_item("servers/i-1", 11, make_value("10.0.0.9:80", "ready")),
+         true},
+        {"new", make_upstream_item(3, 11, "ready"), true},
+        {"removed", make_item("servers/i-1", 11, std::nullopt), true},
+        {"unreadable", make_item("servers/i-1", 11, "{"), false},
+        {"other key", make_item("elsewhere/i-1", 11, value), false},
+        {"no id", make_item("servers/", 11, value), false},
+    };
+    for (auto const& [name, item, is_news] : table)
+    {
+        store_mirror mirror = make_mirror();
+        auto const before = mirror.upstreams_version();
+        auto const content = content_of(mirror);
+        mirror.apply(item);
+        cr_expect_eq(mirror.upstreams_version() > before, is_news, "%s", name);
+        cr_expect_eq(content_of(mirror) != content, is_news, "%s", name);
+    }
+}
+
+Test(store_mirror, an_entry_that_cannot_be_read_leaves_the_old_one)
+{
+    store_mirror mirror = make_mirror();
+    mirror.apply(make_item("servers/i-1", 11, "garbage"));
+    mirror.apply(make_item("op/config", 12, "garbage"));
+    cr_expect_eq(mirror.malformed_values(), 2);
+    cr_expect_eq(content_of(mirror).size(), 2);
+    mirror.replace_upstreams(
+        {{make_item("servers/i-1", 11, "garbage")}, store_revision(13), false});
+    cr_expect_eq(mirror.malformed_values(), 3);
+    cr_assert_eq(content_of(mirror).size(), 1);
+    cr_expect(content_of(mirror)[0].instance == instance_number(1));
+}
+
+Test(store_mirror, a_complete_read_drops_what_it_lacks)
+{
+    store_mirror mirror = make_mirror();
+    auto const before = mirror.upstreams_version();
+    mirror.replace_upstreams(
+        {{make_upstream_item(2, 7, "ready")}, store_revision(20), false});
+    cr_assert_eq(content_of(mirror).size(), 1);
+    cr_expect(content_of(mirror)[0].instance == instance_number(2));
+    cr_expect(mirror.upstreams_version() > before);
+
+    store_mirror empty;
+    empty.replace_upstreams({{}, store_revision(5), false});
+    cr_expect(empty.upstreams_version() == document_version(5));
+    cr_expect(content_of(empty).empty());
+}
+
+Test(store_mirror, an_older_configuration_changes_nothing)
+{
+    store_mirror mirror;
+    cr_expect(mirror.routes_version() == document_version());
+    mirror.apply(make_item("op/config", 4, make_configuration(12)));
+    cr_expect(mirror.routes_version() == document_version(12));
+    auto const text = mirror.routes_text();
+    cr_expect_eq(decode_routes(text).routes.size(), 1);
+    mirror.apply(
+        make_item("op/config", 5, R"({"configVersion":11,"routes":[]})"));
+    mirror.apply(make_item("op/config", 6, std::nullopt));
+    cr_expect(mirror.routes_version() == document_version(12));
+    cr_expect_eq(mirror.routes_text(), text);
+}
+
+Test(store_mirror, versions_never_fall)
+{
+    std::mt19937_64 random(seed);
+    store_mirror mirror = make_mirror();
+    auto before = mirror.upstreams_version();
+    for (int round = 0; round < 2000; ++round)
+    {
+        std::uint64_t const revision = random() % 100;
+        int const number = 1 + static_cast<int>(random() % 3);
+        auto item = make_upstream_item(
+            number, revision, random() % 2 == 0 ? "ready" : "draining");
+        if (random() % 4 == 0)
+            item.value.reset();
+        if (random() % 8 == 0)
+            mirror.replace_upstreams({{}, store_revision(revision), false});
+        else
+            mirror.apply(item);
+        cr_assert(mirror.upstreams_version() >= before, "round %d", round);
+        before = mirror.upstreams_version();
+    }
+}
+
+Test(store_mirror, a_higher_version_is_never_the_older_document)
+{
+    // Symptom: flows go on reaching an upstream that has left. Sequence: one
+    // VM reads the registry anew, after an upstream came and went; a peer that
+    // stopped reading in between lists a higher version, with that upstream.
+    // Cause: the new reader's version is that of an older change than the
+    // latest that its content shows.
+    std::mt19937_64 random(seed);
+    for (int round = 0; round < 300; ++round)
+    {
+        history store(random());
+        for (int left = 40; left > 0; --left)
+            store.change();
+        std::vector<reader> readers(4);
+        for (int left = 40; left > 0; --left)
+        {
+            reader& taken = readers[random() % readers.size()];
+            auto const until =
+                std::min(store.revision(), taken.revision + random() % 10);
+            if (taken.revision == 0 || random() % 6 == 0)
+                taken.read_all(store, until);
+            else
+                taken.watch(store, until);
+        }
+        // All have stopped reading somewhere; whichever reads on to the end
+        // must win over all others, and show the store's state.
+        for (reader finished : readers)
+        {
+            finished.watch(store, store.revision());
+            reader fresh;
+            fresh.read_all(store, store.revision());
+            cr_assert(content_of(finished.mirror) == content_of(fresh.mirror));
+            for (reader const& other : readers)
+            {
+                if (other.revision == 0)
+                    continue;
+                auto const others = other.mirror.upstreams_version();
+                bool const is_newer =
+                    finished.mirror.upstreams_version() > others;
+                cr_assert(
+                    is_newer ||
+                        content_of(finished.mirror) == content_of(other.mirror),
+                    "round %d", round);
+                cr_assert(fresh.mirror.upstreams_version() >= others);
+            }
+        }
+    }
+}
