Tests: Cover the decisions about packets that carry a tag

Cause: libraries/tagging had no tests of its own. Ruled out: tests of tagged_upstreams and tagged_flows as such, whose detail is about to change; all goes through set_listings, route and tick. Change: tests/tagging, with injected times: spread by load, draining and missing upstreams, copies of openings before and after the answer's timeout and after a pause of the VM, tags of upstreams that drain, left or were forgotten, unknown tags, an address used again, shares of split routes, openings that nobody may take, and the bound on remembered flows.

--- /dev/null
+++ b/tests/tagging/test_tagging.cpp
@@ -0,0 +1,391 @@
+#include <tagging/tag_router.hpp>
+
+#include <base/hash.hpp>
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <map>
+
+using namespace cairnhead;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint64_t seed = 20260101;
+constexpr std::uint16_t known_port = 443;
+constexpr std::uint16_t split_port = 444;
+constexpr std::uint16_t unknown_port = 445;
+
+registered_upstream
+make_upstream(std::uint64_t number, std::string pool = "main")
+{
+    return {
+        .instance = instance_number(number),
+        .address = ipv4_address(0x0a000000 + static_cast<unsigned>(number)),
+        .port = 8080,
+        .is_draining = false,
+        .slots = 4,
+        .cold_milliseconds = 0,
+        .pool = std::move(pool),
+        .failure_domain = "perth"};
+}
+
+/// A router that has upstreams and two routes: one to the pool `main`, one
+/// that splits its flows between `main` and `other`, 1 to 3.
+class bench
+{
+public:
+    explicit bench(
+        std::vector<registered_upstream> upstreams = {},
+        tagging_settings const& chosen = {})
+        : settings(chosen)
+    {
+        route_listing routes;
+        ipv4_address const address(0xc6120001);
+        routes.routes.push_back(
+            {address, known_port, flow_class::form, false, {{"main", 1}}});
+        routes.routes.push_back(
+            {address,
+             split_port,
+             flow_class::form,
+             false,
+             {{"main", 1}, {"other", 3}}});
+        this->router.set_listings(
+            this->now, std::make_shared<route_listing const>(routes), nullptr);
+        this->list(std::move(upstreams));
+    }
+
+    void list(std::vector<registered_upstream> upstreams)
+    {
+        this->router.set_listings(
+            this->now, nullptr,
+            std::make_shared<upstream_listing const>(
+                upstream_listing{std::move(upstreams)}));
+    }
+
+    void wait(duration time)
+    {
+        this->now += time;
+        this->router.tick(this->now);
+    }
+
+    /// The only packet effect that the packet led to.
+    effect pass(
+        std::uint64_t flow,
+        packet_phase phase,
+        std::uint32_t tag,
+        std::uint16_t port = known_port)
+    {
+        packet_token const token(++this->packets);
+        endpoint const destination{
+            ipv4_address(0xc6120001), port, transport_protocol::tcp};
+        effect_list effects;
+        this->router.route(
+            this->now,
+            {flow_id(flow), destination, phase, token, {}, upstream_tag(tag)},
+            effects);
+        cr_assert_eq(effects.size(), 1);
+        return effects.front();
+    }
+
+    /// The instance to which the opening went; zero for none.
+    std::uint64_t open(std::uint64_t flow, std::uint16_t port = known_port)
+    {
+        return instance_of(this->pass(flow, packet_phase::opening, 0, port));
+    }
+
+    /// Where a packet with the tag goes; zero when it is dropped.
+    std::uint64_t go_on(std::uint64_t flow, std::uint64_t tag)
+    {
+        effect const decided = this->pass(
+            flow, packet_phase::ongoing, static_cast<std::uint32_t>(tag));
+        cr_expect(!std::holds_alternative<refuse_opening>(decided));
+        return instance_of(decided);
+    }
+
+    /// Opens a flow and has the caller confirm it; gives the instance.
+    std::uint64_t establish(std::uint64_t flow)
+    {
+        auto const instance = this->open(flow);
+        this->go_on(flow, instance);
+        return instance;
+    }
+
+    static std::uint64_t instance_of(effect const& decided)
+    {
+        auto const* const sent = std::get_if<send_tagged>(&decided);
+        if (sent == nullptr)
+            return 0;
+        cr_expect(sent->tag == tag_of(sent->target.instance));
+        return sent->target.instance.value();
+    }
+
+    tagging_settings settings;
+    time_point now{1h};
+    tag_router router{settings, seed};
+
+private:
+    std::uint32_t packets = 0;
+};
+
+bool is_dropped(effect const& decided, drop_reason reason)
+{
+    auto const* const dropped = std::get_if<drop_packet>(&decided);
+    return dropped != nullptr && dropped->reason == reason;
+}
+
+bool is_refused(effect const& decided)
+{
+    auto const* const refused = std::get_if<refuse_opening>(&decided);
+    return refused != nullptr && refused->style == refusal_style::reset &&
+           refused->reason == refusal_reason::no_healthy_upstream;
+}
+
+} // namespace
+
+Test(tagging, new_flows_spread_by_load)
+{
+    // Symptom: one host is full while others idle. Sequence: flows open one
+    // after the other. Cause: flows or slots are not counted.
+    auto large = make_upstream(3);
+    large.slots = 8;
+    bench vm({make_upstream(1), make_upstream(2), large});
+    std::map<std::uint64_t, int> flows;
+    for (std::uint64_t flow = 1; flow <= 40; ++flow)
+        ++flows[vm.establish(flow)];
+    for (auto const& [instance, expected] :
+         std::map<std::uint64_t, int>{{1, 10}, {2, 10}, {3, 20}})
+        cr_expect_leq(std::abs(flows[instance] - expected), 1);
+}
+
+Test(tagging, a_flow_that_was_reset_counts_no_more)
+{
+    // Symptom: an upstream gets no flows though it is idle. Sequence: callers
+    // reset their flows there. Cause: they are counted until they expire.
+    bench vm({make_upstream(1), make_upstream(2)});
+    std::vector<std::uint64_t> at_first;
+    for (std::uint64_t flow = 1; flow <= 20; ++flow)
+    {
+        if (vm.establish(flow) == 1)
+            at_first.push_back(flow);
+    }
+    for (std::uint64_t const flow : at_first)
+        vm.pass(flow, packet_phase::reset, 1);
+    for (std::uint64_t flow = 101; flow <= 105; ++flow)
+        cr_expect_eq(vm.establish(flow), 1);
+}
+
+Test(tagging, draining_upstreams_get_no_new_flow)
+{
+    // Symptom: requests are cut when a host ends as planned. Sequence: it
+    // reports that it drains; flows open, also when nothing else is left.
+    // Cause: it still counts as the last resort.
+    auto draining = make_upstream(1);
+    draining.is_draining = true;
+    bench vm({draining, make_upstream(2)});
+    for (std::uint64_t flow = 1; flow <= 20; ++flow)
+        cr_expect_eq(vm.establish(flow), 2);
+    vm.list({draining});
+    vm.wait(vm.settings.missing_grace);
+    cr_expect(is_refused(vm.pass(99, packet_phase::opening, 0)));
+}
+
+Test(tagging, missing_upstreams_are_a_last_resort_for_a_while)
+{
+    // Symptom: no request is served after the registry lost its entries, or
+    // flows go to a host that is gone. Sequence: the store was down, entries
+    // expired and come back. Cause: a missing entry taken at once, or never,
+    // for a host that has ended.
+    bench vm({make_upstream(1), make_upstream(2)});
+    vm.list({make_upstream(2)});
+    for (std::uint64_t flow = 1; flow <= 20; ++flow)
+        cr_expect_eq(vm.establish(flow), 2);
+    vm.list({});
+    cr_expect_neq(vm.open(30), 0);
+    vm.wait(vm.settings.missing_grace - 1ms);
+    cr_expect_neq(vm.open(31), 0);
+    vm.wait(1ms);
+    cr_expect(is_refused(vm.pass(32, packet_phase::opening, 0)));
+    vm.list({make_upstream(1)});
+    cr_expect_eq(vm.open(33), 1);
+}
+
+Test(tagging, a_copy_moves_on_only_when_its_opening_was_unanswered)
+{
+    // Symptom: a caller's attempt ends unserved, though hosts are free.
+    // Sequence: the host that got its opening has crashed; a copy follows.
+    // Cause: the copy goes to the same host. Or, the other way round: a host
+    // passes for dead since a copy overtook its answer.
+    struct table_entry
+    {
+        duration after;
+        bool is_moved;
+    };
+    tagging_settings const defaults;
+    table_entry const table[] = {
+        {0ms, false},
+        {1ms, false},
+        {defaults.answer_timeout - 1ms, false},
+        {defaults.answer_timeout, true},
+        {200ms, true},
+    };
+    for (auto const& [after, is_moved] : table)
+    {
+        bench vm({make_upstream(1), make_upstream(2), make_upstream(3)});
+        auto const first = vm.open(7);
+        vm.now += after;
+        auto const second = vm.open(7);
+        cr_expect_neq(second, 0);
+        cr_expect_eq(first != second, is_moved);
+    }
+}
+
+Test(tagging, a_pause_of_the_vm_blames_no_upstream)
+{
+    // Symptom: after a pause a VM avoids all its hosts. Sequence: it stands
+    // still for a second; the opening and its copies wait in its socket and
+    // are handled at one moment. Cause: the copies' number, or the callers'
+    // time, taken for the host's delay.
+    bench vm({make_upstream(1), make_upstream(2)});
+    vm.wait(1s);
+    for (std::uint64_t flow = 1; flow <= 20; ++flow)
+    {
+        auto const first = vm.open(flow);
+        cr_expect_eq(vm.open(flow), first);
+        cr_expect_eq(vm.open(flow), first);
+    }
+}
+
+Test(tagging, the_only_upstream_is_asked_again)
+{
+    // Symptom: a pool of one host is refused after one lost packet. Sequence:
+    // its answer is lost; a copy follows. Cause: the host that did not answer
+    // is left out though nothing else is there.
+    bench vm({make_upstream(1)});
+    cr_expect_eq(vm.open(7), 1);
+    vm.now += 200ms;
+    cr_expect_eq(vm.open(7), 1);
+    cr_expect_eq(vm.open(8), 1);
+}
+
+Test(tagging, tagged_packets_follow_their_upstream)
+{
+    // Symptom: open flows break when a host drains or its entry expires.
+    // Sequence: as in the table. Cause: tags looked up among the upstreams
+    // that take new flows, or forgotten with the entry.
+    auto draining = make_upstream(1);
+    draining.is_draining = true;
+    struct table_entry
+    {
+        char const* name;
+        std::vector<registered_upstream> listed;
+        duration after;
+        std::uint64_t expected;
+    };
+    auto const retention = tagging_settings().upstream_retention;
+    table_entry const table[] = {
+        {"ready", {make_upstream(1), make_upstream(2)}, 1h, 1},
+        {"draining", {draining, make_upstream(2)}, 1h, 1},
+        {"gone, just now", {make_upstream(2)}, 0s, 1},
+        {"gone, at the end", {make_upstream(2)}, retention, 1},
+        {"gone, forgotten", {make_upstream(2)}, retention + 2s, 0},
+    };
+    for (auto const& [name, listed, after, expected] : table)
+    {
+        bench vm({make_upstream(1), make_upstream(2)});
+        vm.list(listed);
+        vm.wait(after);
+        // One flow opened through another VM, all phases of its packets.
+        for (auto const phase :
+             {packet_phase::ongoing, packet_phase::closing,
+              packet_phase::reset})
+        {
+            auto const instance = bench::instance_of(vm.pass(7, phase, 1));
+            cr_expect_eq(instance, expected, "%s", name);
+        }
+    }
+}
+
+Test(tagging, an_unknown_tag_is_dropped)
+{
+    // Symptom: a caller gets a reset that its host did not send. Sequence: a
+    // VM that just started does not know the host yet. Cause: its ignorance
+    // taken for the flow's end.
+    bench vm({make_upstream(1)});
+    for (auto const phase :
+         {packet_phase::ongoing, packet_phase::closing, packet_phase::reset})
+    {
+        for (std::uint32_t const tag : {0U, 2U, 0xffffffffU})
+            cr_expect(
+                is_dropped(vm.pass(7, phase, tag), drop_reason::unknown_flow));
+    }
+}
+
+Test(tagging, an_address_that_is_used_again_is_not_the_flows_upstream)
+{
+    // Symptom: a host of another service gets a flow's packets. Sequence: a
+    // host ends, its address is given to a new one, a packet of the old flow
+    // arrives. Cause: the flow's host known by its address alone.
+    bench vm({make_upstream(1)});
+    vm.establish(7);
+    auto other = make_upstream(9, "other");
+    other.address = make_upstream(1).address;
+    vm.list({other});
+    effect const decided = vm.pass(7, packet_phase::ongoing, 1);
+    auto const* const sent = std::get_if<send_tagged>(&decided);
+    cr_assert_not_null(sent);
+    cr_expect(sent->target.instance == instance_number(1));
+    cr_expect(sent->target.address == other.address);
+}
+
+Test(tagging, split_routes_get_their_shares)
+{
+    // Symptom: a split of 1 to 3 is served otherwise, or copies of one opening
+    // reach two services. Sequence: many flows open, at two VMs. Cause: the
+    // pool drawn anew for each packet or by each VM.
+    bench first({make_upstream(1, "main"), make_upstream(2, "other")});
+    bench second({make_upstream(1, "main"), make_upstream(2, "other")});
+    constexpr int flows = 4000;
+    int at_main = 0;
+    for (int number = 0; number < flows; ++number)
+    {
+        auto const flow = hash_pair(seed, static_cast<unsigned>(number));
+        auto const instance = first.open(flow, split_port);
+        cr_expect_eq(second.open(flow, split_port), instance);
+        first.now += 200ms;
+        cr_expect_eq(first.open(flow, split_port), instance);
+        at_main += instance == 1 ? 1 : 0;
+    }
+    // Four standard deviations of the binomial distribution.
+    cr_expect_leq(std::abs(at_main - flows / 4), 110, "%d", at_main);
+}
+
+Test(tagging, openings_that_nobody_may_take)
+{
+    bench const unlisted;
+    cr_expect(unlisted.router.is_informed());
+    bench vm({make_upstream(1, "elsewhere")});
+    cr_expect(is_refused(vm.pass(1, packet_phase::opening, 0)));
+    cr_expect(is_refused(vm.pass(2, packet_phase::opening, 0, split_port)));
+    cr_expect(is_dropped(
+        vm.pass(3, packet_phase::opening, 0, unknown_port),
+        drop_reason::unknown_destination));
+    tagging_settings const settings;
+    cr_expect_not(tag_router(settings, seed).is_informed());
+}
+
+Test(tagging, flows_beyond_the_bound_are_routed)
+{
+    // Symptom: memory grows until the process is killed, or no flow opens any
+    // more. Sequence: openings flood a VM. Cause: no bound, or one that stops
+    // the service.
+    tagging_settings few;
+    few.maximum_flows = 10;
+    bench vm({make_upstream(1)}, few);
+    for (std::uint64_t flow = 1; flow <= 50; ++flow)
+        cr_expect_eq(vm.establish(flow), 1);
+    cr_expect_eq(vm.router.flow_count(), 10);
+    vm.wait(few.idle_timeout + 2s);
+    cr_expect_eq(vm.router.flow_count(), 0);
+}
