--- a/tests/users_platform/test_store_items.cpp
+++ b/tests/users_platform/test_store_items.cpp
@@ -1,8 +1,6 @@
 #include "samples.hpp"
 
 #include <criterion/criterion.h>
-#include <functional>
-#include <map>
 
 using namespace cairnhead;
 using namespace cairnhead::samples;
@@ -168,6 +166,9 @@
                        R"("state":"ready"})");
     cr_expect_eq(sparse.slots, 1);
     cr_expect_eq(sparse.cold_milliseconds, 0);
+    auto const fraction = replace_part(good_value, "9000", "1500.75");
+    cr_expect_eq(
+        parse_upstream("servers/i-1", fraction).cold_milliseconds, 1500);
 }
 
 Test(store_items, refuses_bad_upstreams)
