Tests: Cover openings offered again, verdicts and checks

Change: a fixture of its own, and 12 tests that open with symptom, sequence and cause. The fixture's packet effects are told from those without a packet.

--- a/tests/tagging/test_tagging.cpp
+++ b/tests/tagging/test_tagging.cpp
@@ -1,134 +1,14 @@
-#include <tagging/tag_router.hpp>
-
-#include <base/hash.hpp>
+#include "router_fixture.hpp"
 
 #include <algorithm>
-#include <criterion/criterion.h>
 #include <map>
 
 using namespace cairnhead;
-using namespace std::chrono_literals;
+using namespace cairnhead::tagging_test;
 
 namespace
 {
 
-constexpr std::uint64_t seed = 20260101;
-constexpr std::uint16_t known_port = 443;
-constexpr std::uint16_t split_port = 444;
-constexpr std::uint16_t unknown_port = 445;
-
-registered_upstream
-make_upstream(std::uint64_t number, std::string pool = "main")
-{
-    return {
-        .instance = instance_number(number),
-        .address = ipv4_address(0x0a000000 + static_cast<unsigned>(number)),
-        .port = 8080,
-        .is_draining = false,
-        .slots = 4,
-        .cold_milliseconds = 0,
-        .pool = std::move(pool),
-        .failure_domain = "perth"};
-}
-
-/// A router that has upstreams and two routes: one to the pool `main`, one
-/// that splits its flows between `main` and `other`, 1 to 3.
-class bench
-{
-public:
-    explicit bench(
-        std::vector<registered_upstream> upstreams = {},
-        tagging_settings const& chosen = {})
-        : settings(chosen)
-    {
-        route_listing routes;
-        ipv4_address const address(0xc6120001);
-        routes.routes.push_back(
-            {address, known_port, flow_class::form, false, {{"main", 1}}});
-        routes.routes.push_back(
-            {address,
-             split_port,
-             flow_class::form,
-             false,
-             {{"main", 1}, {"other", 3}}});
-        this->router.set_listings(
-            this->now, std::make_shared<route_listing const>(routes), nullptr);
-        this->list(std::move(upstreams));
-    }
-
-    void list(std::vector<registered_upstream> upstreams)
-    {
-        this->router.set_listings(
-            this->now, nullptr,
-            std::make_shared<upstream_listing const>(
-                upstream_listing{std::move(upstreams)}));
-    }
-
-    void wait(duration time)
-    {
-        this->now += time;
-        this->router.tick(this->now);
-    }
-
-    /// The only packet effect that the packet led to.
-    effect pass(
-        std::uint64_t flow,
-        packet_phase phase,
-        std::uint32_t tag,
-        std::uint16_t port = known_port)
-    {
-        packet_token const token(++this->packets);
-        endpoint const destination{
-            ipv4_address(0xc6120001), port, transport_protocol::tcp};
-        effect_list effects;
-        this->router.route(
-            this->now,
-            {flow_id(flow), destination, phase, token, {}, upstream_tag(tag)},
-            effects);
-        cr_assert_eq(effects.size(), 1);
-        return effects.front();
-    }
-
-    /// The instance to which the opening went; zero for none.
-    std::uint64_t open(std::uint64_t flow, std::uint16_t port = known_port)
-    {
-        return instance_of(this->pass(flow, packet_phase::opening, 0, port));
-    }
-
-    /// Where a packet with the tag goes; zero when it is dropped.
-    std::uint64_t go_on(std::uint64_t flow, std::uint64_t tag)
-    {
-        effect const decided = this->pass(
-            flow, packet_phase::ongoing, static_cast<std::uint32_t>(tag));
-        cr_expect(!std::holds_alternative<refuse_opening>(decided));
-        return instance_of(decided);
-    }
-
-    /// Opens a flow and has the caller confirm it; gives the instance.
-    std::uint64_t establish(std::uint64_t flow)
-    {
-        auto const instance = this->open(flow);
-        this->go_on(flow, instance);
-        return instance;
-    }
-
-    static std::uint64_t instance_of(effect const& decided)
-    {
-        auto const* const sent = std::get_if<send_tagged>(&decided);
-        if (sent == nullptr)
-            return 0;
-        cr_expect(sent->tag == tag_of(sent->target.instance));
-        return sent->target.instance.value();
-    }
-
-    tagging_settings settings;
-    time_point now{1h};
-    tag_router router{settings, seed};
-
-private:
-    std::uint32_t packets = 0;
-};
-
 bool is_dropped(effect const& decided, drop_reason reason)
 {
     auto const* const dropped = std::get_if<drop_packet>(&decided);
@@ -391,7 +271,7 @@
         vm.pass(3, packet_phase::opening, 0, unknown_port),
         drop_reason::unknown_destination));
     tagging_settings const settings;
-    cr_expect_not(tag_router(settings, seed).is_informed());
+    cr_expect_not(tag_router(settings, {}, seed).is_informed());
 }
 
 Test(tagging, flows_beyond_the_bound_are_routed)
--- /dev/null
+++ b/tests/tagging/test_unreachable.cpp
@@ -0,0 +1,231 @@
+#include "router_fixture.hpp"
+
+using namespace cairnhead;
+using namespace cairnhead::tagging_test;
+
+namespace
+{
+
+constexpr std::uint64_t near = 1;
+constexpr std::uint64_t far = 2;
+constexpr std::uint64_t far_too = 3;
+
+failure_domain_id const cut_domain = make_failure_domain_id("lanark");
+
+/// One upstream in the VM's own domain, two in another one.
+std::vector<registered_upstream> two_domains()
+{
+    return {
+        make_upstream(near), make_upstream(far, "main", "lanark"),
+        make_upstream(far_too, "main", "lanark")};
+}
+
+/// A flow at each upstream, all answered just now.
+void establish_flows(bench& vm)
+{
+    for (std::uint64_t const instance : {near, far, far_too})
+    {
+        vm.request(instance, instance);
+        vm.acknowledge(instance, instance, 1000);
+    }
+}
+
+/// Callers at the far upstreams repeat their requests, the near one answers.
+void fall_silent(bench& vm)
+{
+    vm.router.note_heard(vm.now, cut_domain);
+    establish_flows(vm);
+    vm.request(far, far, 200);
+    vm.request(far_too, far_too, 200);
+    vm.advance(vm.settings.silence_timeout);
+    vm.request(near, near, 200);
+    vm.acknowledge(near, near, 2000);
+    vm.request(far, far, 200);
+    vm.request(far_too, far_too, 200);
+}
+
+bool is_reset(effect const& decided)
+{
+    return std::holds_alternative<reset_flow>(decided);
+}
+
+} // namespace
+
+Test(unreachable, an_unconfirmed_opening_goes_to_another_upstream)
+{
+    // Symptom: each opening at a dead upstream costs its caller 200 ms.
+    // Sequence: it opens a flow, and nobody answers. Cause: only the caller's
+    // own copy moved the opening on.
+    bench vm({make_upstream(1), make_upstream(2)});
+    auto const first = vm.open(7);
+    vm.advance(vm.settings.retry_after);
+    auto const repeated = vm.take<repeat_opening>();
+    cr_assert_eq(repeated.size(), 1);
+    cr_expect_neq(repeated.front().target.instance.value(), first);
+    cr_expect_eq(repeated.front().bytes.size(), 3);
+    // The caller answers whichever answered first; both ways its flow holds.
+    cr_expect_eq(vm.go_on(7, first), first);
+    auto const other = repeated.front().target.instance.value();
+    cr_expect_eq(vm.go_on(7, other), first, "a late answer moved the flow");
+    // New flows avoid the one that was late no longer: it answered.
+    cr_expect_neq(vm.open(8), 0);
+}
+
+Test(unreachable, a_confirmed_opening_is_not_repeated)
+{
+    bench vm({make_upstream(1), make_upstream(2)});
+    vm.establish(7);
+    vm.advance(1s);
+    cr_expect(vm.take<repeat_opening>().empty());
+}
+
+Test(unreachable, an_opening_is_repeated_a_few_times_only)
+{
+    bench vm({make_upstream(1), make_upstream(2), make_upstream(3)});
+    vm.open(7);
+    vm.advance(1s);
+    cr_expect_eq(vm.take<repeat_opening>().size(), vm.settings.maximum_retries);
+}
+
+Test(unreachable, unanswered_openings_make_an_upstream_avoided)
+{
+    // Symptom: a dead upstream draws ever more flows. Sequence: openings there
+    // fail, so it has the fewest flows and is chosen again. Cause: repeating
+    // an opening did not count against the upstream.
+    bench vm({make_upstream(1), make_upstream(2)});
+    auto const dead = vm.open(7);
+    vm.advance(vm.settings.retry_after);
+    vm.go_on(7, 3 - dead);
+    for (std::uint64_t flow = 10; flow < 20; ++flow)
+        cr_expect_eq(vm.establish(flow), 3 - dead);
+}
+
+Test(unreachable, own_failure_domain_goes_first)
+{
+    // Symptom: a zone that is cut off loses most flows of its own callers.
+    // Sequence: they were placed evenly over all zones. Cause: placement knew
+    // no distance.
+    bench vm(two_domains());
+    int nearby = 0;
+    for (std::uint64_t flow = 10; flow < 30; ++flow)
+        nearby += vm.establish(flow) == near ? 1 : 0;
+    cr_expect_geq(nearby, 14);
+    cr_expect_lt(nearby, 20, "far upstreams must share an overload");
+}
+
+Test(unreachable, a_domain_that_is_cut_off_gets_nothing_new)
+{
+    // Symptom: callers wait for their timeouts, again and again. Sequence: a
+    // zone is cut off; its upstreams fall silent, its VMs answer no ping.
+    // Cause: each upstream had to be found out by itself.
+    bench vm(two_domains());
+    fall_silent(vm);
+    cr_assert_eq(vm.router.take_questions().size(), 1);
+    vm.advance(vm.settings.ask_timeout);
+    auto const told = vm.take<report>();
+    cr_assert_eq(told.size(), 1);
+    cr_expect(told.front().kind == report_kind::domain_unreachable);
+    cr_expect(is_reset(vm.request(far, far, 200)));
+    for (std::uint64_t flow = 10; flow < 40; ++flow)
+        cr_expect_eq(vm.establish(flow), near);
+}
+
+Test(unreachable, a_domain_whose_vm_answers_is_not_cut_off)
+{
+    // Symptom: flows that live are reset. Sequence: two upstreams of a domain
+    // are slow at once. Cause: silence alone was taken for a cut.
+    bench vm(two_domains());
+    fall_silent(vm);
+    cr_assert_eq(vm.router.take_questions().size(), 1);
+    vm.router.note_heard(vm.now, cut_domain);
+    vm.advance(vm.settings.ask_timeout);
+    cr_expect(vm.take<report>().empty());
+    cr_expect_not(is_reset(vm.request(far, far, 200)));
+}
+
+Test(unreachable, a_vm_that_hears_nobody_blames_no_domain)
+{
+    // Symptom: a VM that was held up resets flows that live. Sequence: all
+    // upstreams seem silent at once. Cause: the VM itself was late.
+    bench vm(two_domains());
+    vm.router.note_heard(vm.now, cut_domain);
+    establish_flows(vm);
+    vm.advance(1s);
+    for (std::uint64_t const instance : {near, far, far_too})
+    {
+        vm.request(instance, instance, 200);
+        vm.request(instance, instance, 200);
+    }
+    cr_expect(vm.router.take_questions().empty());
+}
+
+Test(unreachable, a_late_acknowledgement_is_no_sign_of_life)
+{
+    // Symptom: verdicts about a domain come and go while it is cut off.
+    // Sequence: callers acknowledge the last answer with their next request,
+    // seconds after the cut. Cause: it was taken for a new answer.
+    bench vm(two_domains());
+    vm.router.note_heard(vm.now, cut_domain);
+    vm.request(9, far, 200);
+    fall_silent(vm);
+    vm.advance(vm.settings.ask_timeout);
+    vm.take<report>();
+    vm.next_request_acknowledges(9, far, 300, 900);
+    cr_expect(vm.take<report>().empty());
+    cr_expect(is_reset(vm.request(far, far, 200)));
+}
+
+Test(unreachable, a_silent_upstream_is_checked_and_its_flows_end)
+{
+    // Symptom: each flow of a crashed upstream costs one request, and those
+    // that must not run twice are lost. Sequence: it crashes; callers use
+    // their idle flows one after the other. Cause: nothing told them.
+    bench vm({make_upstream(1), make_upstream(2)});
+    for (std::uint64_t flow = 1; flow <= 3; ++flow)
+        vm.request(flow, 1, 100);
+    vm.advance(vm.settings.check_after);
+    cr_expect_not(is_reset(vm.request(1, 1, 100)));
+    cr_assert_eq(vm.take<check_upstream>().size(), 1);
+    vm.end_check(1, connection_outcome::unanswered);
+    auto const ended = vm.take<reset_known_flow>();
+    cr_expect_eq(ended.size(), 3);
+    for (reset_known_flow const& flow : ended)
+        cr_expect_eq(flow.acknowledged, 500);
+    for (std::uint64_t flow = 10; flow < 20; ++flow)
+        cr_expect_eq(vm.establish(flow), 2);
+}
+
+Test(unreachable, an_upstream_that_accepts_connections_keeps_its_flows)
+{
+    // Symptom: flows of a slow upstream are reset. Sequence: it takes longer
+    // than callers wait before they repeat themselves. Cause: slow was taken
+    // for dead.
+    for (auto const outcome :
+         {connection_outcome::connected, connection_outcome::refused})
+    {
+        bench vm({make_upstream(1), make_upstream(2)});
+        vm.request(1, 1, 100);
+        vm.advance(vm.settings.check_after);
+        vm.request(1, 1, 100);
+        cr_assert_eq(vm.take<check_upstream>().size(), 1);
+        vm.end_check(1, outcome);
+        cr_expect(vm.take<reset_known_flow>().empty());
+        cr_expect_not(is_reset(vm.request(1, 1, 100)));
+    }
+}
+
+Test(unreachable, an_answer_outweighs_a_check)
+{
+    // Symptom: flows of an upstream in reach are reset. Sequence: on a link
+    // that loses packets a check gets no answer, while a caller does. Cause:
+    // the check counted more than the caller's packets.
+    bench vm({make_upstream(1), make_upstream(2)});
+    vm.request(1, 1, 100);
+    vm.request(2, 1, 100);
+    vm.advance(vm.settings.check_after);
+    vm.request(1, 1, 100);
+    vm.take<check_upstream>();
+    vm.acknowledge(2, 1, 900);
+    vm.end_check(1, connection_outcome::unanswered);
+    cr_expect(vm.take<reset_known_flow>().empty());
+}
