--- a/libraries/control/document_client.cpp
+++ b/libraries/control/document_client.cpp
@@ -2,7 +2,7 @@
 #include <control/document_client.hpp>
 #include <control/document_seal.hpp>
 #include <control/rpc_channel.hpp>
-#include <control/rpc_thread.hpp>
+#include <loop/kj_thread.hpp>
 
 #include <control.capnp.h>
 #include <sodium.h>
@@ -139,13 +139,13 @@
     on_result finished;
 
     /// Runs on the client's thread.
-    void start(rpc_loop& loop, fetch_document wanted);
+    void start(kj_loop& loop, fetch_document wanted);
     [[nodiscard]] kj::Promise<document_result>
-    ask(rpc_loop& loop, pending_fetch const& fetch) const;
+    ask(kj_loop& loop, pending_fetch const& fetch) const;
 };
 
 kj::Promise<document_result> document_client::shared_state::ask(
-    rpc_loop& loop, pending_fetch const& fetch) const
+    kj_loop& loop, pending_fetch const& fetch) const
 {
     auto const address = ipv4_address(fetch.wanted.source->value());
     auto target = make_address(loop.network(), address, this->options.port);
@@ -166,7 +166,7 @@
     return answer.attach(kj::mv(target)).exclusiveJoin(kj::mv(late));
 }
 
-void document_client::shared_state::start(rpc_loop& loop, fetch_document wanted)
+void document_client::shared_state::start(kj_loop& loop, fetch_document wanted)
 {
     auto fetch = kj::heap<pending_fetch>();
     fetch->wanted = std::move(wanted);
@@ -217,7 +217,7 @@
     authenticator const& keys,
     on_result finished)
     : state(new shared_state{options, keys, std::move(finished)}),
-      thread(std::make_unique<rpc_thread>())
+      thread(std::make_unique<kj_thread>())
 {
 }
 
@@ -226,7 +226,7 @@
 void document_client::fetch(fetch_document const& wanted)
 {
     this->thread->post(
-        [state = this->state.get(), wanted](rpc_loop& loop)
+        [state = this->state.get(), wanted](kj_loop& loop)
         {
             state->start(loop, wanted);
         });
--- a/libraries/control/document_client.hpp
+++ b/libraries/control/document_client.hpp
@@ -13,7 +13,7 @@
 namespace cairnhead
 {
 
-class rpc_thread;
+class kj_thread;
 
 /// Why a document could not be fetched from a peer.
 enum class fetch_failure : std::uint8_t
@@ -59,7 +59,7 @@
 
     /// `finished` is called on the client's thread, exactly once for each
     /// fetch while the client lives; it must not throw. Throws
-    /// `rpc_unavailable`. Precondition: the keys outlive the object.
+    /// `kj_thread_unavailable`. Precondition: the keys outlive the object.
     document_client(
         document_client_options options,
         authenticator const& keys,
@@ -79,7 +79,7 @@
 
     /// Declared before the thread, which uses it until it ends.
     std::unique_ptr<shared_state> state;
-    std::unique_ptr<rpc_thread> thread;
+    std::unique_ptr<kj_thread> thread;
 };
 
 } // namespace cairnhead
--- a/libraries/control/rpc_errors.cpp
+++ b/libraries/control/rpc_errors.cpp
@@ -5,11 +5,6 @@
 namespace cairnhead
 {
 
-char const* rpc_unavailable::what() const noexcept
-{
-    return "the RPC thread cannot be set up";
-}
-
 rpc_address_unavailable::rpc_address_unavailable(
     ipv4_address address, std::uint16_t port)
     : text(
--- a/libraries/control/rpc_errors.hpp
+++ b/libraries/control/rpc_errors.hpp
@@ -8,14 +8,6 @@
 namespace cairnhead
 {
 
-/// Thrown when the process lacks what an RPC thread needs, such as file
-/// descriptors.
-class rpc_unavailable : public std::exception
-{
-public:
-    [[nodiscard]] char const* what() const noexcept override;
-};
-
 /// Thrown when an address cannot be bound for RPC.
 class rpc_address_unavailable : public std::exception
 {
--- a/libraries/control/rpc_listener.cpp
+++ b/libraries/control/rpc_listener.cpp
@@ -23,7 +23,7 @@
 } // namespace
 
 rpc_listener::rpc_listener(
-    rpc_loop& on,
+    kj_loop& on,
     kj::Own<kj::ConnectionReceiver> from,
     capnp::Capability::Client served)
     : loop(on), receiver(kj::mv(from)), interface(kj::mv(served)),
--- a/libraries/control/rpc_listener.hpp
+++ b/libraries/control/rpc_listener.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <control/rpc_thread.hpp>
+#include <loop/kj_thread.hpp>
 
 #include <capnp/capability.h>
 
@@ -20,7 +20,7 @@
 public:
     /// Precondition: the loop outlives the object.
     rpc_listener(
-        rpc_loop& loop,
+        kj_loop& loop,
         kj::Own<kj::ConnectionReceiver> receiver,
         capnp::Capability::Client served);
 
@@ -32,7 +32,7 @@
     void serve(kj::Own<kj::AsyncIoStream> stream);
     void taskFailed(kj::Exception&& failure) override;
 
-    rpc_loop& loop;
+    kj_loop& loop;
     kj::Own<kj::ConnectionReceiver> receiver;
     capnp::Capability::Client interface;
     std::size_t open_connections = 0;
--- a/libraries/control/rpc_server.cpp
+++ b/libraries/control/rpc_server.cpp
@@ -4,7 +4,7 @@
 #include <control/rpc_errors.hpp>
 #include <control/rpc_listener.hpp>
 #include <control/rpc_server.hpp>
-#include <control/rpc_thread.hpp>
+#include <loop/kj_thread.hpp>
 
 #include <future>
 #include <utility>
@@ -17,7 +17,7 @@
 
 /// Begins to serve on the RPC thread; returns the port.
 std::uint16_t listen(
-    rpc_loop& loop,
+    kj_loop& loop,
     ipv4_address address,
     std::uint16_t port,
     capnp::Capability::Client served)
@@ -35,7 +35,7 @@
 /// reference counts belong to that thread.
 template <typename MakeInterface>
 std::uint16_t serve(
-    rpc_thread& thread,
+    kj_thread& thread,
     ipv4_address address,
     std::uint16_t port,
     MakeInterface make_interface)
@@ -43,7 +43,7 @@
     std::promise<std::uint16_t> bound;
     auto result = bound.get_future();
     thread.post(
-        [&](rpc_loop& loop)
+        [&](kj_loop& loop)
         {
             try
             {
@@ -60,7 +60,7 @@
 
 } // namespace
 
-rpc_server::rpc_server() : thread(std::make_unique<rpc_thread>())
+rpc_server::rpc_server() : thread(std::make_unique<kj_thread>())
 {
 }
 
--- a/libraries/control/rpc_server.hpp
+++ b/libraries/control/rpc_server.hpp
@@ -8,14 +8,14 @@
 namespace cairnhead
 {
 
-class rpc_thread;
+class kj_thread;
 
 /// Serves operators and peers over Cap'n Proto RPC in a thread of its own.
 /// Thread safety of all methods: one thread.
 class rpc_server
 {
 public:
-    /// Starts the thread. Throws `rpc_unavailable`.
+    /// Starts the thread. Throws `kj_thread_unavailable`.
     rpc_server();
 
     /// Closes all connections at once and ends the thread. Replies that come
@@ -39,7 +39,7 @@
         authenticator const& keys);
 
 private:
-    std::unique_ptr<rpc_thread> thread;
+    std::unique_ptr<kj_thread> thread;
 };
 
 } // namespace cairnhead
--- a/libraries/control/rpc_thread.cpp
+++ b/libraries/loop/kj_thread.cpp
@@ -1,5 +1,4 @@
-#include <control/rpc_errors.hpp>
-#include <control/rpc_thread.hpp>
+#include <loop/kj_thread.hpp>
 
 #include <future>
 #include <utility>
@@ -30,7 +29,12 @@
 
 } // namespace
 
-rpc_thread::rpc_thread()
+char const* kj_thread_unavailable::what() const noexcept
+{
+    return "a KJ thread cannot be set up";
+}
+
+kj_thread::kj_thread()
 {
     std::promise<void> started;
     auto outcome = started.get_future();
@@ -49,23 +53,29 @@
             }
             catch (kj::Exception const&)
             {
-                if (!is_started)
-                    started.set_exception(
-                        std::make_exception_ptr(rpc_unavailable()));
+                // Without its thread the object would take tasks and never run
+                // one: whoever waits for an answer waits for ever, unseen.
+                // Like this the process ends, and is started anew.
+                if (is_started && !this->is_ending())
+                    throw;
+                if (is_started)
+                    return;
+                started.set_exception(
+                    std::make_exception_ptr(kj_thread_unavailable()));
             }
         });
     try
     {
         outcome.get();
     }
-    catch (rpc_unavailable const&)
+    catch (kj_thread_unavailable const&)
     {
         this->thread.join();
         throw;
     }
 }
 
-rpc_thread::~rpc_thread()
+kj_thread::~kj_thread()
 {
     {
         std::lock_guard const lock(this->mutex);
@@ -75,14 +85,20 @@
     this->thread.join();
 }
 
-void rpc_thread::post(task work)
+void kj_thread::post(task work)
 {
     std::lock_guard const lock(this->mutex);
     this->posted.push_back(std::move(work));
     this->wake_up();
 }
 
-void rpc_thread::wake_up()
+bool kj_thread::is_ending()
+{
+    std::lock_guard const lock(this->mutex);
+    return this->is_stopping;
+}
+
+void kj_thread::wake_up()
 {
     if (this->sleeping.get() == nullptr)
         return;
@@ -90,12 +106,12 @@
     waiting->fulfill();
 }
 
-void rpc_thread::run(std::function<void()> const& tell_started)
+void kj_thread::run(std::function<void()> const& tell_started)
 {
     auto io = kj::setupAsyncIo();
     ignored_failures failures;
     kj::TaskSet tasks(failures);
-    rpc_loop loop{io, tasks};
+    kj_loop loop{io, tasks};
     tell_started();
     while (this->run_posted(loop))
     {
@@ -112,7 +128,7 @@
     }
 }
 
-bool rpc_thread::run_posted(rpc_loop& loop)
+bool kj_thread::run_posted(kj_loop& loop)
 {
     std::vector<task> ready;
     {
--- a/libraries/control/rpc_thread.hpp
+++ b/libraries/loop/kj_thread.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <exception>
 #include <functional>
 #include <kj/async-io.h>
 #include <mutex>
@@ -9,8 +10,16 @@
 namespace cairnhead
 {
 
-/// What runs on an RPC thread may use.
-struct rpc_loop
+/// Thrown when the process lacks what a KJ thread needs, such as file
+/// descriptors.
+class kj_thread_unavailable : public std::exception
+{
+public:
+    [[nodiscard]] char const* what() const noexcept override;
+};
+
+/// What runs on a KJ thread may use.
+struct kj_loop
 {
     kj::AsyncIoContext& io;
     /// Promises kept here run until they end or the thread stops.
@@ -27,22 +36,23 @@
     }
 };
 
-/// A POSIX thread that runs a KJ event loop, which Cap'n Proto RPC needs. The
-/// packet thread has a loop of its own and must not wait for RPC.
+/// A POSIX thread that runs a KJ event loop, which Cap'n Proto RPC and KJ's
+/// HTTP need. The packet thread has a loop of its own and must wait for
+/// neither.
 /// Thread safety: `post` may be called from any thread.
-class rpc_thread
+class kj_thread
 {
 public:
-    using task = std::function<void(rpc_loop&)>;
+    using task = std::function<void(kj_loop&)>;
 
-    /// Throws `rpc_unavailable` when the loop cannot be set up.
-    rpc_thread();
+    /// Throws `kj_thread_unavailable` when the loop cannot be set up.
+    kj_thread();
 
     /// Cancels all that runs, at once, and ends the thread.
     /// Precondition: not called on the thread itself.
-    ~rpc_thread();
-    rpc_thread(rpc_thread const&) = delete;
-    rpc_thread& operator=(rpc_thread const&) = delete;
+    ~kj_thread();
+    kj_thread(kj_thread const&) = delete;
+    kj_thread& operator=(kj_thread const&) = delete;
 
     /// Runs a task on the thread, in the order posted; it must not throw.
     /// Tasks that did not begin before the destructor are dropped.
@@ -53,7 +63,8 @@
     using waker = kj::Own<kj::CrossThreadPromiseFulfiller<void>>;
 
     void run(std::function<void()> const& tell_started);
-    [[nodiscard]] bool run_posted(rpc_loop& loop);
+    [[nodiscard]] bool run_posted(kj_loop& loop);
+    [[nodiscard]] bool is_ending();
     void wake_up();
 
     std::mutex mutex;
--- a/libraries/observability/metrics_exposer.cpp
+++ b/libraries/observability/metrics_exposer.cpp
@@ -1,9 +1,9 @@
 #include <observability/metrics_exposer.hpp>
 
 #include <base/ipv4.hpp>
-#include <prometheus/exposer.h>
+#include <http/http_server.hpp>
+#include <prometheus/text_serializer.h>
 #include <utility>
-#include <vector>
 
 namespace cairnhead
 {
@@ -11,25 +11,26 @@
 namespace
 {
 
-constexpr char serving_threads[] = "2";
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+
+constexpr char text_format[] = "text/plain; version=0.0.4; charset=utf-8";
 
 std::string socket_text(ipv4_address address, std::uint16_t port)
 {
     return format_ipv4(address) + ":" + std::to_string(port);
 }
 
-} // namespace
-
-struct metrics_exposer::server
+http_reply answer(prometheus::Registry const& served, std::string_view path)
 {
-    explicit server(std::string const& address)
-        : exposer(std::vector<std::string>{
-              "listening_ports", address, "num_threads", serving_threads})
-    {
-    }
+    if (path != "/metrics")
+        return {status_not_found, {}, {}};
+    return {
+        status_ok, text_format,
+        prometheus::TextSerializer().Serialize(served.Collect())};
+}
 
-    prometheus::Exposer exposer;
-};
+} // namespace
 
 exposer_unavailable::exposer_unavailable(
     ipv4_address address, std::uint16_t port)
@@ -52,13 +53,17 @@
         return;
     try
     {
-        this->running = std::make_unique<server>(socket_text(address, port));
+        this->running = std::make_unique<http_server>(
+            address, port,
+            [shown = this->served](std::string_view path)
+            {
+                return answer(*shown, path);
+            });
     }
-    catch (std::exception const&)
+    catch (http_address_unavailable const&)
     {
         throw exposer_unavailable(address, port);
     }
-    this->running->exposer.RegisterCollectable(this->served);
 }
 
 metrics_exposer::~metrics_exposer() = default;
--- a/libraries/observability/metrics_exposer.hpp
+++ b/libraries/observability/metrics_exposer.hpp
@@ -10,6 +10,8 @@
 namespace cairnhead
 {
 
+class http_server;
+
 /// Thrown when the metrics' address cannot be bound.
 class exposer_unavailable : public std::exception
 {
@@ -22,11 +24,12 @@
 };
 
 /// Serves `/metrics` over HTTP while it exists.
-/// Thread safety: scrapes run in threads of its own.
+/// Thread safety: scrapes run in a thread of its own.
 class metrics_exposer
 {
 public:
-    /// Port zero serves nothing. Throws `exposer_unavailable`.
+    /// Port zero serves nothing and starts no thread. Throws
+    /// `exposer_unavailable` and `kj_thread_unavailable`.
     metrics_exposer(
         std::shared_ptr<prometheus::Registry> registry,
         ipv4_address address,
@@ -39,9 +42,8 @@
     [[nodiscard]] bool is_listening() const;
 
 private:
-    struct server;
     std::shared_ptr<prometheus::Registry> served;
-    std::unique_ptr<server> running;
+    std::unique_ptr<http_server> running;
 };
 
 } // namespace cairnhead
--- a/libraries/publication/platform_call.hpp
+++ b/libraries/publication/platform_call.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
 #include <event/event.hpp>
+#include <http/http_client.hpp>
 #include <publication/platform_failure.hpp>
 
-#include <curl/curl.h>
-#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -48,51 +47,14 @@
 [[nodiscard]] platform_outcome
 fail_request(platform_request const& request, platform_failure failure);
 
-/// One HTTP call with what has been received of its answer. Thread safety of
-/// all methods: none. The object must stay where it is: libcurl holds its
-/// address.
-class platform_call
-{
-public:
-    /// Precondition: `curl_global_init` was called; the base URL has no slash
-    /// at its end.
-    platform_call(std::string const& base_url, platform_request request);
-    platform_call(platform_call const&) = delete;
-    platform_call& operator=(platform_call const&) = delete;
-    ~platform_call() = default;
-
-    /// libcurl's handle; null when there was no memory for it. No
-    /// precondition.
-    [[nodiscard]] CURL* handle() const;
-
-    /// Reads the answer. Precondition: libcurl says that the call ended, with
-    /// this result.
-    [[nodiscard]] platform_outcome finish(CURLcode result);
-
-private:
-    struct handle_deleter
-    {
-        void operator()(CURL* handle) const;
-    };
+/// The HTTP call that a request needs; its time begins now. Precondition: the
+/// base URL has no slash at its end. Thread safety: no shared state.
+[[nodiscard]] http_question
+make_question(std::string const& base_url, platform_request const& request);
 
-    void set_options(std::string const& url, duration answer_within);
-    [[nodiscard]] std::optional<platform_failure>
-    find_failure(CURLcode result) const;
-    [[nodiscard]] platform_outcome finish_watch() const;
-    [[nodiscard]] platform_outcome
-    finish_document(platform_document_call const& asked);
-    [[nodiscard]] std::size_t get_body_limit() const;
-    [[nodiscard]] std::size_t take_body(std::string_view part);
-    static std::size_t receive_body(
-        char const* data, std::size_t size, std::size_t count, void* call);
-    static std::size_t receive_header(
-        char const* data, std::size_t size, std::size_t count, void* call);
-
-    platform_request request;
-    std::unique_ptr<CURL, handle_deleter> easy;
-    std::string body;
-    std::optional<document_version> version;
-    bool is_too_large = false;
-};
+/// Reads what a request's call gave. No precondition. Thread safety: no shared
+/// state.
+[[nodiscard]] platform_outcome
+read_result(platform_request const& request, http_result result);
 
 } // namespace cairnhead
--- a/libraries/publication/platform_client.hpp
+++ b/libraries/publication/platform_client.hpp
@@ -1,17 +1,13 @@
 #pragma once
 
+#include <http/http_caller.hpp>
 #include <publication/platform_call.hpp>
 
 #include <array>
 #include <atomic>
 #include <functional>
-#include <map>
-#include <memory>
-#include <mutex>
 #include <string>
 #include <string_view>
-#include <thread>
-#include <vector>
 
 namespace cairnhead
 {
@@ -30,7 +26,7 @@
     /// destructor.
     using event_handler = std::function<void(platform_event)>;
 
-    /// Precondition: the handler is not empty.
+    /// Throws `kj_thread_unavailable`. Precondition: the handler is not empty.
     platform_client(std::string_view base_url, event_handler handler);
     platform_client(platform_client const&) = delete;
     platform_client& operator=(platform_client const&) = delete;
@@ -38,7 +34,7 @@
     /// Ends all calls in progress without waiting for the platform; they get
     /// no event, and none comes after the destructor has returned.
     /// Precondition: no other method is running.
-    ~platform_client();
+    ~platform_client() = default;
 
     /// Starts a blocking watch; answered by `platform_listed` or
     /// `platform_failed`. Precondition: the wait is not negative. Thread
@@ -54,32 +50,17 @@
     [[nodiscard]] std::uint64_t count_failures(platform_failure failure) const;
 
 private:
-    struct multi_deleter
-    {
-        void operator()(CURLM* handle) const;
-    };
-
     void submit(platform_request request);
-    void run();
-    void start_submitted();
-    void start(platform_request const& request);
-    void finish_ended();
-    void finish(CURL* handle, CURLcode result);
+    void start(http_client& client, platform_request const& request);
     void tell(platform_outcome outcome);
 
     std::string base_url;
     event_handler handler;
-    std::unique_ptr<CURLM, multi_deleter> multi;
     std::array<std::atomic<std::uint64_t>, platform_failure_kinds> failures{};
-    std::atomic<bool> is_stopping = false;
     /// Calls submitted and not answered.
     std::atomic<std::size_t> open_calls = 0;
-    std::mutex submitted_mutex;
-    std::vector<platform_request> submitted;
-    /// Used by the client's thread alone.
-    std::map<CURL*, std::unique_ptr<platform_call>> calls;
-    /// Last, so that it starts when the rest is ready.
-    std::thread worker;
+    /// Last, so that it ends before what its calls use.
+    http_caller caller;
 };
 
 } // namespace cairnhead
--- a/libraries/runtime/health_prober.cpp
+++ b/libraries/runtime/health_prober.cpp
@@ -3,7 +3,6 @@
 #include <base/ipv4.hpp>
 #include <runtime/health_answer.hpp>
 
-#include <algorithm>
 #include <utility>
 
 namespace cairnhead
@@ -12,11 +11,10 @@
 namespace
 {
 
-/// An endpoint that takes longer than this has failed the probe.
-constexpr long probe_timeout_milliseconds = 1000;
+using std::chrono_literals::operator""s;
 
-/// How long the thread sleeps at most; `curl_multi_wakeup` ends it earlier.
-constexpr int poll_milliseconds = 1000;
+/// An endpoint that takes longer than this has failed the probe.
+constexpr duration probe_timeout = 1s;
 
 /// An answer is a few dozen bytes. Without a bound one upstream could fill
 /// the VM's memory.
@@ -29,127 +27,44 @@
            std::to_string(wanted.health_port) + "/health";
 }
 
-} // namespace
-
-health_prober::health_prober(callback on_result)
-    : on_probed(std::move(on_result)),
-      multi(curl_multi_init(), &curl_multi_cleanup), worker(
-                                                         [this]
-                                                         {
-                                                             this->run();
-                                                         })
-{
-}
-
-health_prober::~health_prober()
+upstream_probed read_result(upstream_id upstream, http_result const& result)
 {
-    {
-        std::scoped_lock const lock(this->guard);
-        this->ending = true;
-    }
-    curl_multi_wakeup(this->multi.get());
-    this->worker.join();
-    for (transfer const& unfinished : this->transfers)
-        curl_multi_remove_handle(this->multi.get(), unfinished.handle.get());
+    if (auto const* const answer = std::get_if<http_answer>(&result))
+        return {read_health_answer(upstream, answer->status, answer->body)};
+    return {read_health_answer(upstream, 0, {})};
 }
 
-void health_prober::probe(probe_upstream const& wanted)
-{
-    {
-        std::scoped_lock const lock(this->guard);
-        this->waiting.push_back(wanted);
-    }
-    curl_multi_wakeup(this->multi.get());
-}
-
-std::size_t health_prober::receive_body(
-    char* bytes, std::size_t size, std::size_t count, void* into)
-{
-    auto& body = *static_cast<std::string*>(into);
-    std::size_t const length = size * count;
-    // Taking less than was offered ends the transfer with an error.
-    if (body.size() + length > maximum_answer_bytes)
-        return 0;
-    body.append(bytes, length);
-    return length;
-}
-
-void health_prober::run()
-{
-    while (!this->is_ending())
-    {
-        this->start_waiting();
-        int running = 0;
-        curl_multi_perform(this->multi.get(), &running);
-        this->finish_ended();
-        curl_multi_poll(
-            this->multi.get(), nullptr, 0, poll_milliseconds, nullptr);
-    }
-}
-
-void health_prober::start_waiting()
-{
-    std::vector<probe_upstream> wanted;
-    {
-        std::scoped_lock const lock(this->guard);
-        wanted.swap(this->waiting);
-    }
-    for (probe_upstream const& next : wanted)
-        this->start(next);
-}
-
-void health_prober::start(probe_upstream const& wanted)
-{
-    transfer& started = this->transfers.emplace_back();
-    started.upstream = wanted.upstream;
-    started.handle.reset(curl_easy_init());
-    CURL* const handle = started.handle.get();
-    std::string const url = make_url(wanted);
-    curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
-    curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
-    // The probe asks the upstream itself, whatever the environment says.
-    curl_easy_setopt(handle, CURLOPT_PROXY, "");
-    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, probe_timeout_milliseconds);
-    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &receive_body);
-    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &started.body);
-    curl_multi_add_handle(this->multi.get(), handle);
-}
+} // namespace
 
-void health_prober::finish_ended()
+health_prober::health_prober(callback on_result)
+    : on_probed(std::move(on_result))
 {
-    int left = 0;
-    while (CURLMsg const* const message =
-               curl_multi_info_read(this->multi.get(), &left))
-    {
-        if (message->msg != CURLMSG_DONE)
-            continue;
-        this->finish(message->easy_handle, message->data.result);
-    }
 }
 
-void health_prober::finish(CURL* handle, CURLcode outcome)
+void health_prober::probe(probe_upstream const& wanted)
 {
-    auto const ended = std::ranges::find_if(
-        this->transfers,
-        [handle](transfer const& item)
+    this->caller.post(
+        [this, wanted](http_client& client)
         {
-            return item.handle.get() == handle;
+            this->start(client, wanted);
         });
-    long status = 0;
-    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
-    long const status_if_whole = outcome == CURLE_OK ? status : 0;
-    upstream_probed const result{
-        read_health_answer(ended->upstream, status_if_whole, ended->body)};
-    curl_multi_remove_handle(this->multi.get(), handle);
-    this->transfers.erase(ended);
-    this->on_probed(result);
 }
 
-bool health_prober::is_ending()
+void health_prober::start(http_client& client, probe_upstream const& wanted)
 {
-    std::scoped_lock const lock(this->guard);
-    return this->ending;
+    auto const deadline = make_deadline(probe_timeout);
+    auto answered = client.get(
+        {.url = make_url(wanted),
+         .connect_by = deadline,
+         .answer_by = deadline,
+         .maximum_body_bytes = maximum_answer_bytes});
+    // KJ would take in what is thrown here, and the upstream would never be
+    // probed again, unseen. Like this the process ends, and is started anew.
+    client.keep(answered.then(
+        [this, upstream = wanted.upstream](http_result&& result) noexcept
+        {
+            this->on_probed(read_result(upstream, result));
+        }));
 }
 
 } // namespace cairnhead
--- a/libraries/runtime/readiness_server.cpp
+++ b/libraries/runtime/readiness_server.cpp
@@ -2,10 +2,7 @@
 
 #include <runtime/address_unavailable.hpp>
 
-#include <base/ipv4.hpp>
-
-#include <cerrno>
-#include <httplib.h>
+#include <http/http_server.hpp>
 
 namespace cairnhead
 {
@@ -13,14 +10,9 @@
 namespace
 {
 
-constexpr int status_ok = 200;
-constexpr int status_unavailable = 503;
-
-/// The fabric asks twice a second, and each thread costs memory.
-constexpr std::size_t answering_threads = 2;
-
-/// A connection that says nothing must not hold a thread for long.
-constexpr time_t read_timeout_seconds = 1;
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
 
 } // namespace
 
@@ -31,36 +23,25 @@
 {
     if (settings.port == 0)
         return;
-    this->server = std::make_unique<httplib::Server>();
-    this->server->new_task_queue = []
+    auto const answer = [path = settings.path,
+                         &is_ready](std::string_view asked) -> http_reply
     {
-        return new httplib::ThreadPool(answering_threads);
+        if (asked != path)
+            return {status_not_found, {}, {}};
+        return {is_ready ? status_ok : status_unavailable, {}, {}};
     };
-    this->server->set_keep_alive_max_count(1);
-    this->server->set_read_timeout(read_timeout_seconds);
-    this->server->Get(
-        settings.path,
-        [&is_ready](httplib::Request const&, httplib::Response& answer)
-        {
-            answer.status = is_ready ? status_ok : status_unavailable;
-        });
-    bool const is_bound = this->server->bind_to_port(
-        format_ipv4(own_address).c_str(), settings.port);
-    if (!is_bound)
-        throw address_unavailable({own_address, settings.port}, errno);
-    this->listener = std::thread(
-        [this]
-        {
-            this->server->listen_after_bind();
-        });
+    try
+    {
+        this->server =
+            std::make_unique<http_server>(own_address, settings.port, answer);
+    }
+    catch (http_address_unavailable const& failure)
+    {
+        throw address_unavailable(
+            {own_address, settings.port}, failure.error_number());
+    }
 }
 
-readiness_server::~readiness_server()
-{
-    if (this->server == nullptr)
-        return;
-    this->server->stop();
-    this->listener.join();
-}
+readiness_server::~readiness_server() = default;
 
 } // namespace cairnhead
--- a/libraries/runtime/readiness_server.hpp
+++ b/libraries/runtime/readiness_server.hpp
@@ -4,23 +4,21 @@
 
 #include <atomic>
 #include <memory>
-#include <thread>
-
-namespace httplib
-{
-class Server;
-}
 
 namespace cairnhead
 {
 
+class http_server;
+
 /// Answers the fabric's question whether callers may be sent to this VM: 200
 /// while it is ready, 503 otherwise.
 class readiness_server
 {
 public:
     /// Starts to answer, unless the settings turn it off. Throws
-    /// `address_unavailable`. Precondition: `is_ready` outlives the object.
+    /// `address_unavailable`
+    /// and `kj_thread_unavailable`. Precondition: `is_ready` outlives the
+    /// object.
     readiness_server(
         ipv4_address own_address,
         readiness_settings const& settings,
@@ -32,8 +30,7 @@
     ~readiness_server();
 
 private:
-    std::unique_ptr<httplib::Server> server;
-    std::thread listener;
+    std::unique_ptr<http_server> server;
 };
 
 } // namespace cairnhead
--- a/libraries/runtime/receive_batch.cpp
+++ b/libraries/runtime/receive_batch.cpp
@@ -38,12 +38,16 @@
 } // namespace
 
 receive_batch::receive_batch()
-    : slots(std::make_unique<std::array<slot, batch_size>>())
+    // Without zeros: they would touch, at each start, a quarter of a megabyte
+    // that a quiet VM never uses.
+    : buffers(std::make_unique_for_overwrite<std::array<buffer, batch_size>>()),
+      slots(std::make_unique<std::array<slot, batch_size>>())
 {
     for (std::size_t index = 0; index < batch_size; ++index)
     {
         slot& prepared = (*this->slots)[index];
-        prepared.part = {prepared.bytes.data(), prepared.bytes.size()};
+        buffer& bytes = (*this->buffers)[index];
+        prepared.part = {bytes.data(), bytes.size()};
         msghdr& header = this->headers[index].msg_hdr;
         header.msg_name = &prepared.source;
         header.msg_iov = &prepared.part;
@@ -67,7 +71,8 @@
         mmsghdr& header = this->headers[index];
         received_datagram& datagram = this->received[index];
         datagram.source = from_sockaddr(filled.source);
-        datagram.bytes = std::span(filled.bytes).first(header.msg_len);
+        datagram.bytes =
+            std::span((*this->buffers)[index]).first(header.msg_len);
         datagram.is_truncated = (header.msg_hdr.msg_flags & MSG_TRUNC) != 0;
         this->read_control(header.msg_hdr, datagram);
     }
--- a/libraries/runtime/receive_batch.hpp
+++ b/libraries/runtime/receive_batch.hpp
@@ -57,12 +57,15 @@
         sockaddr_in source{};
         iovec part{};
         alignas(cmsghdr) std::array<std::uint8_t, control_bytes> control{};
-        std::array<std::uint8_t, maximum_datagram_bytes> bytes;
     };
 
+    using buffer = std::array<std::uint8_t, maximum_datagram_bytes>;
+
     void prepare();
     void read_control(msghdr& header, received_datagram& datagram);
 
+    /// Apart from the slots: what the kernel fills is touched only then.
+    std::unique_ptr<std::array<buffer, batch_size>> buffers;
     std::unique_ptr<std::array<slot, batch_size>> slots;
     std::array<mmsghdr, batch_size> headers{};
     std::array<received_datagram, batch_size> received{};
--- a/libraries/runtime/remote_calls.hpp
+++ b/libraries/runtime/remote_calls.hpp
@@ -20,8 +20,8 @@
 class remote_calls
 {
 public:
-    /// Throws `rpc_unavailable`. Precondition: the keys and the inbox outlive
-    /// the object.
+    /// Throws `kj_thread_unavailable`. Precondition: the keys and the inbox
+    /// outlive the object.
     remote_calls(
         daemon_settings const& settings,
         authenticator const& keys,
--- a/libraries/runtime/request_server.hpp
+++ b/libraries/runtime/request_server.hpp
@@ -25,8 +25,8 @@
         inbox& arrivals;
     };
 
-    /// Starts to serve. Throws `rpc_unavailable`, `rpc_address_unavailable`.
-    /// Precondition: a view was published.
+    /// Starts to serve. Throws `kj_thread_unavailable`,
+    /// `rpc_address_unavailable`. Precondition: a view was published.
     explicit request_server(parts const& shared);
 
     /// Closes all connections at once.
--- a/libraries/settings/settings.cpp
+++ b/libraries/settings/settings.cpp
@@ -21,7 +21,7 @@
 constexpr std::array<std::string_view, 4> log_levels = {
     "debug", "info", "warning", "error"};
 
-constexpr std::array<std::string_view, 2> url_schemes = {"http://", "https://"};
+constexpr std::string_view url_scheme = "http://";
 
 /// Whether the text looks like a setting's name. Keys in the file that do
 /// not may be a secret whose own key was forgotten.
@@ -386,13 +386,8 @@
             {
                 return character > ' ' && character <= '~';
             });
-        return has_only_printable && std::ranges::any_of(
-                                         url_schemes,
-                                         [text](std::string_view scheme)
-                                         {
-                                             return text.starts_with(scheme) &&
-                                                    text.size() > scheme.size();
-                                         });
+        return has_only_printable && text.starts_with(url_scheme) &&
+               text.size() > url_scheme.size();
     }
 
     void read_listeners(settings_mapping const& file)
--- a/services/cairnhead/text_file.cpp
+++ b/services/cairnhead/text_file.cpp
@@ -1,5 +1,7 @@
 #include "text_file.hpp"
 
+#include <algorithm>
+#include <array>
 #include <fstream>
 #include <utility>
 #include <yaml/yaml_value.hpp>
@@ -27,11 +29,19 @@
     std::ifstream file(path, std::ios::binary);
     if (!file || std::filesystem::is_directory(path))
         throw unreadable_file(path);
-    std::string text(maximum_document_bytes + 1, '\0');
-    file.read(text.data(), static_cast<std::streamsize>(text.size()));
+    constexpr std::size_t most = maximum_document_bytes + 1;
+    std::string text;
+    // In parts: room for the largest text, filled with zeros for a settings
+    // file of a few hundred bytes, took a tenth of the daemon's start.
+    std::array<char, 4096> part;
+    while (text.size() < most && file)
+    {
+        auto const wanted = std::min(part.size(), most - text.size());
+        file.read(part.data(), static_cast<std::streamsize>(wanted));
+        text.append(part.data(), static_cast<std::size_t>(file.gcount()));
+    }
     if (file.bad())
         throw unreadable_file(path);
-    text.resize(static_cast<std::size_t>(file.gcount()));
     return text;
 }
 
--- a/tests/observability/test_metrics.cpp
+++ b/tests/observability/test_metrics.cpp
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <httplib.h>
 #include <observability/metrics.hpp>
 #include <observability/metrics_exposer.hpp>
 #include <sys/socket.h>
@@ -143,3 +144,29 @@
     metrics_exposer const served(all.registry(), loopback, port);
     cr_expect(served.is_listening());
 }
+
+Test(exposer, serves_what_a_scrape_tells, .timeout = 30)
+{
+    metrics all(fault_names);
+    int const holder = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* const plain = reinterpret_cast<sockaddr*>(&address);
+    cr_assert_eq(bind(holder, plain, size), 0);
+    cr_assert_eq(getsockname(holder, plain, &size), 0);
+    close(holder);
+    auto const port = ntohs(address.sin_port);
+    metrics_exposer const served(all.registry(), loopback, port);
+    httplib::Client client("127.0.0.1", port);
+    auto const answer = client.Get("/metrics");
+    cr_assert(answer);
+    cr_expect_eq(answer->status, 200);
+    cr_expect_eq(answer->body, all.scrape());
+    cr_expect(
+        answer->get_header_value("Content-Type").starts_with("text/plain"));
+    auto const other = client.Get("/other");
+    cr_assert(other);
+    cr_expect_eq(other->status, 404);
+}
