Reducer: Fill no ownership slots where packets carry tags

Cause: each start filled 1.8 MB of slots. With tags nobody owns a flow, and nothing reads them. Ruled out: the same for the pins' index, whose bound a fabric without tags shares; reserving it later would copy it while packets wait. Change: reducer makes the table with one slot where flow_memory is tags. A string that the linter named is built in place.

--- a/libraries/publication/platform_call.cpp
+++ b/libraries/publication/platform_call.cpp
@@ -60,7 +60,9 @@
     std::optional<document_version> version;
     for (auto const& [name, value] : answer.headers)
     {
-        std::string const line = name + ": " + value;
+        std::string line = name;
+        line += ": ";
+        line += value;
         if (auto const found = find_version_value(line))
             version = parse_document_version(*found);
     }
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -19,6 +19,15 @@
     return hash_pair(own, hash_text(part));
 }
 
+/// Nobody owns a flow whose packets carry tags: the usual slots would be
+/// 1.8 MB, filled at the start, that are never read.
+std::size_t count_slots(reducer_settings const& settings)
+{
+    return settings.memory == flow_memory::tags
+               ? 1
+               : ownership_table::usual_slot_count;
+}
+
 } // namespace
 
 reducer::reducer(reducer_settings const& initial_settings)
@@ -27,11 +36,11 @@
                                       this->settings.self,
                                       this->settings.seeds,
                                       seed_for(this->settings, "membership")),
-      ownership(this->settings.ownership), pin_store(this->settings.pins),
-      versions(
-          this->settings.versions,
-          this->settings.self,
-          seed_for(this->settings, "versions")),
+      ownership(this->settings.ownership, count_slots(this->settings)),
+      pin_store(this->settings.pins), versions(
+                                          this->settings.versions,
+                                          this->settings.self,
+                                          seed_for(this->settings, "versions")),
       placer(
           this->settings.placement,
           this->settings.self,
