Tagging: Look at route and upstream again for copies of openings

Cause (found by reading, while its tests were written): a copy went where its opening had gone, also when the route was gone or the upstream drained; data in an opening could go to two upstreams; of two instances with the same low 32 bits the later one took over the tag.

Ruled out: wider tags; the packets have 32 bits.

Change: copies are placed anew unless route and upstream still stand; an opening with data stays at one upstream, and is dropped where the service may not run twice; a tag stays with the instance that had it first.

--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -95,20 +95,27 @@
     effect_list& effects)
 {
     tagged_upstream* const upstream = this->known.find(flow.upstream);
+    bool const has_data = packet.phase == packet_phase::opening_with_data;
+    bool const may_stay = upstream != nullptr &&
+                          !upstream->registered.is_draining &&
+                          this->route_by_address.contains(packet.destination);
+    // Data may have run where it was sent first, so it goes nowhere else.
+    if (has_data && upstream != nullptr)
+        return send(packet, *upstream, effects);
     // Counted from when this VM sent the opening, not from when the caller
     // did: a VM that was held up finds the opening and its copy together, and
     // would take every upstream for dead.
     bool const is_unanswered =
         flow.state == tagged_flow_state::opening &&
         now >= flow.opened_at + this->settings.answer_timeout;
-    if (upstream != nullptr && !is_unanswered)
+    if (may_stay && !is_unanswered)
         return send(packet, *upstream, effects);
-    if (upstream != nullptr)
+    if (upstream != nullptr && is_unanswered)
         this->note_unanswered(now, *upstream);
     upstream_tag const excluded = flow.upstream;
     this->forget(packet.flow);
-    // An opening carries no data, and the caller answers the first upstream
-    // that answers it; so asking a second one cannot run anything twice.
+    // It carries no data, and the caller answers the first upstream that
+    // answers it; so asking a second one cannot run anything twice.
     this->place_opening(now, packet, excluded, effects);
 }
 
@@ -118,12 +125,22 @@
     upstream_tag excluded,
     effect_list& effects)
 {
-    if (!this->route_by_address.contains(packet.destination))
+    auto const route = this->route_by_address.find(packet.destination);
+    if (route == this->route_by_address.end())
     {
         effects.emplace_back(
             drop_packet{packet.token, drop_reason::unknown_destination});
         return;
     }
+    if (packet.phase == packet_phase::opening_with_data &&
+        !route->second->is_idempotent)
+    {
+        // Its copy may reach another VM, and be run by a second upstream.
+        // Callers repeat it without the data (RFC 7413 section 4.1.3).
+        effects.emplace_back(
+            drop_packet{packet.token, drop_reason::refused_silently});
+        return;
+    }
     tagged_upstream const* const chosen =
         this->choose(now, packet.destination, packet.flow, excluded);
     if (chosen == nullptr)
--- a/libraries/tagging/tagged_upstreams.cpp
+++ b/libraries/tagging/tagged_upstreams.cpp
@@ -57,6 +57,15 @@
     time_point now, registered_upstream const& registered)
 {
     tagged_upstream* known = this->find(tag_of(registered.instance));
+    // Two upstreams with one tag would get each other's packets, and reset
+    // flows that they do not hold. The one that was there keeps the tag, the
+    // other gets no flows while it is there.
+    // NOTE: VMs that learn of both at the same moment agree, as listings are
+    // sorted; one that joined in between may not.
+    bool const is_taken = known != nullptr && !known->missing_since &&
+                          known->registered.instance != registered.instance;
+    if (is_taken)
+        return;
     if (known == nullptr)
     {
         known = &this->upstreams.emplace_back();
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -428,11 +428,6 @@
         });
 }
 
-void fleet::carry_out(node&, send_tagged const&)
-{
-    throw std::logic_error("a packet without a tag was sent with one");
-}
-
 void fleet::carry_out(node& source, send_to_peer const& body)
 {
     ++this->peer_packet_count;
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <stdexcept>
 #include <vector>
 
 /// A thin fixture: a few reducers whose effects reach each other after a
@@ -142,8 +143,12 @@
     void apply(node& target, event::body_type body);
     void carry_out(node& source, effect_list const& effects);
     void carry_out(node& source, send_to_upstream const& body);
-    /// This fleet's packets carry no tags.
-    void carry_out(node& source, send_tagged const& body);
+    /// What only packets with tags lead to, which this fleet does not have.
+    template <typename Tagged>
+    void carry_out(node&, Tagged const&)
+    {
+        throw std::logic_error("a packet without a tag was handled as one");
+    }
     void carry_out(node& source, send_to_peer const& body);
     void carry_out(node& source, refuse_opening const& body);
     void carry_out(node& source, drop_packet const& body);
--- a/tests/tagging/router_fixture.hpp
+++ b/tests/tagging/router_fixture.hpp
@@ -20,6 +20,7 @@
 inline constexpr std::uint16_t known_port = 443;
 inline constexpr std::uint16_t split_port = 444;
 inline constexpr std::uint16_t unknown_port = 445;
+inline constexpr std::uint16_t idempotent_port = 446;
 
 inline registered_upstream make_upstream(
     std::uint64_t number,
@@ -57,6 +58,8 @@
              flow_class::form,
              false,
              {{"main", 1}, {"other", 3}}});
+        routes.routes.push_back(
+            {address, idempotent_port, flow_class::feed, true, {{"main", 1}}});
         this->router.set_listings(
             this->now, std::make_shared<route_listing const>(routes), nullptr);
         this->list(std::move(upstreams));
--- a/tests/tagging/test_tagging.cpp
+++ b/tests/tagging/test_tagging.cpp
@@ -288,3 +288,57 @@
     vm.wait(few.idle_timeout + 2s);
     cr_expect_eq(vm.router.flow_count(), 0);
 }
+
+Test(tagging, a_copy_does_not_outlive_its_route_or_a_draining)
+{
+    // Symptom: a request runs under a route that is gone, or reaches a host
+    // long after it said that it drains. Sequence: an opening goes out, the
+    // declarations change, the caller's copy arrives. Cause: a copy went where
+    // its opening had gone without another look.
+    bench vm({make_upstream(1)});
+    vm.open(7);
+    auto draining = make_upstream(1);
+    draining.is_draining = true;
+    vm.list({draining, make_upstream(2)});
+    cr_expect_eq(vm.open(7), 2);
+    vm.router.set_listings(
+        vm.now, std::make_shared<route_listing const>(), nullptr);
+    cr_expect(is_dropped(
+        vm.pass(7, packet_phase::opening, 0),
+        drop_reason::unknown_destination));
+}
+
+Test(tagging, data_in_an_opening_goes_to_one_upstream_or_none)
+{
+    // Symptom: an offer is run twice. Sequence: its opening carries the data,
+    // nobody answers in time, its copy goes to another upstream. Cause: it was
+    // handled like an opening without data.
+    bench vm({make_upstream(1), make_upstream(2)});
+    cr_expect(is_dropped(
+        vm.pass(7, packet_phase::opening_with_data, 0),
+        drop_reason::refused_silently));
+    auto const opened = [&vm]
+    {
+        return bench::instance_of(
+            vm.pass(8, packet_phase::opening_with_data, 0, idempotent_port));
+    };
+    auto const first = opened();
+    vm.advance(1s);
+    cr_expect(vm.take<repeat_opening>().empty());
+    cr_expect_eq(opened(), first);
+}
+
+Test(tagging, of_two_upstreams_with_one_tag_the_first_keeps_it)
+{
+    // Symptom: flows of one upstream are reset by another. Sequence: two
+    // instances share the low half of their numbers. Cause: the later one
+    // took the tag over.
+    auto const twin = (std::uint64_t{5} << 32) + 1;
+    bench vm({make_upstream(1)});
+    cr_expect_eq(vm.establish(7), 1);
+    vm.list({make_upstream(1), make_upstream(twin)});
+    cr_expect_eq(vm.go_on(7, 1), 1);
+    cr_expect_eq(vm.open(8), 1);
+    vm.list({make_upstream(twin)});
+    cr_expect_eq(vm.open(9), twin);
+}
