Tests: Name the newest drop reason in the test that counts them

Cause: the test compares the number of names with the last enumerator, which is now upstream_unreachable. Change: it names that one; as strict as before.

--- a/tests/observability/test_metrics.cpp
+++ b/tests/observability/test_metrics.cpp
@@ -107,7 +107,7 @@
 {
     cr_expect_eq(
         count_of_values<drop_reason>(),
-        std::size_t(drop_reason::owner_unreachable) + 1);
+        std::size_t(drop_reason::upstream_unreachable) + 1);
     cr_expect_eq(
         count_of_values<refusal_reason>(),
         std::size_t(refusal_reason::leaving) + 1);
