Tests: Let the linter's two findings go

Cause: a const local cannot be moved out. Before: meta/lint, 2 findings in router_fixture.hpp. Change: not const. Conclusion: run again before landing.

--- a/tests/tagging/router_fixture.hpp
+++ b/tests/tagging/router_fixture.hpp
@@ -108,7 +108,7 @@
     request(std::uint64_t flow, std::uint64_t tag, std::uint32_t sequence = 100)
     {
         this->next_progress = {sequence, 500, true};
-        auto const decided = this->pass(
+        auto decided = this->pass(
             flow, packet_phase::ongoing, static_cast<std::uint32_t>(tag));
         this->next_progress = {};
         return decided;
@@ -122,7 +122,7 @@
         std::uint32_t acknowledged)
     {
         this->next_progress = {sequence, acknowledged, true};
-        auto const decided = this->pass(
+        auto decided = this->pass(
             flow, packet_phase::ongoing, static_cast<std::uint32_t>(tag));
         this->next_progress = {};
         return decided;
