Command line: Show routes and upstreams of a registry

Cause: services, upstreams and explain showed nothing where packets carry tags.

Ruled out: an RPC of its own for tagged flows: people ask the same questions.

Change: the reducer's view names routes as services and instances as upstreams, made on a change only. Settings are refused as pairs.

--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -1,5 +1,7 @@
 #include <reducer/reducer.hpp>
 
+#include <reducer/tagged_view.hpp>
+
 #include <base/hash.hpp>
 
 #include <algorithm>
@@ -106,6 +108,11 @@
     seen.members.assign(known.begin(), known.end());
     seen.declarations = this->declarations;
     seen.upstreams = this->placer.views(now);
+    if (this->shown_registry == nullptr)
+        return seen;
+    seen.pins = this->tagged.flow_count();
+    seen.declarations = this->shown_registry;
+    seen.upstreams = make_shown_upstreams(now, this->tagged.upstreams());
     return seen;
 }
 
@@ -114,6 +121,8 @@
 {
     flow_explanation found;
     found.documents_generation = this->versions.generation();
+    if (this->shown_registry != nullptr)
+        return this->explain_tagged(flow, destination);
     service const* const target = this->declarations->find_service(destination);
     if (target != nullptr)
     {
@@ -154,6 +163,25 @@
            this->state() == serving_state::serving;
 }
 
+flow_explanation
+reducer::explain_tagged(flow_id flow, endpoint const& destination) const
+{
+    flow_explanation found;
+    found.documents_generation = this->versions.generation();
+    service const* const target =
+        this->shown_registry->find_service(destination);
+    if (target == nullptr)
+        return found;
+    found.service = target->name;
+    found.rule = routing_rule::place_opening;
+    tagged_upstream const* const upstream = this->tagged.upstream_of(flow);
+    if (upstream == nullptr)
+        return found;
+    found.pinned = upstream_id(upstream->registered.address.value());
+    found.rule = routing_rule::own_pin;
+    return found;
+}
+
 version_store const& reducer::documents() const
 {
     return this->versions;
@@ -514,8 +542,13 @@
 {
     // These need no joining: they are complete from the first listing on, and
     // a VM that waited for its peers would refuse callers for that long.
-    this->tagged.set_listings(
-        now, this->versions.routes(), this->versions.upstreams());
+    auto const routes = this->versions.routes();
+    bool const is_news =
+        this->tagged.set_listings(now, routes, this->versions.upstreams());
+    // Only on a change: naming hundreds of routes takes a small VM a while.
+    if (is_news && this->tagged.is_informed())
+        this->shown_registry =
+            make_shown_directory(*routes, this->tagged.upstreams());
     // Placement takes upstreams that it did not know before for cold. What a
     // joiner learns while it catches up was there before it: taking those for
     // cold made `prefer: continuity` place by load alone for half a minute.
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -109,6 +109,8 @@
         upstream_report_listing const& message,
         effect_list& out);
 
+    [[nodiscard]] flow_explanation
+    explain_tagged(flow_id flow, endpoint const& destination) const;
     [[nodiscard]] routing_context context();
     [[nodiscard]] placing_permission permission(time_point now) const;
     [[nodiscard]] serving_state state() const;
@@ -134,6 +136,8 @@
     handover handing_over;
     tag_router tagged;
     std::shared_ptr<directory const> declarations;
+    /// With tags: what the command line shows of the registry.
+    std::shared_ptr<directory const> shown_registry;
 
     std::uint64_t applied_membership = ~std::uint64_t(0);
     std::uint64_t applied_documents = ~std::uint64_t(0);
--- /dev/null
+++ b/libraries/reducer/tagged_view.cpp
@@ -0,0 +1,141 @@
+#include <reducer/tagged_view.hpp>
+
+#include <base/hash.hpp>
+#include <base/ipv4.hpp>
+
+#include <absl/container/flat_hash_set.h>
+#include <algorithm>
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+
+namespace cairnhead
+{
+
+namespace
+{
+
+/// The registry has no organisations.
+constexpr std::string_view registry_organisation = "registry";
+
+std::string name_instance(instance_number instance)
+{
+    std::array<char, sizeof("i-0123456789abcdef")> text{};
+    std::snprintf(text.data(), text.size(), "i-%08" PRIx64, instance.value());
+    return text.data();
+}
+
+/// `pool`, or `pool:90+other:10` for a split route.
+std::string name_pools(published_route const& route)
+{
+    if (route.pools.size() == 1)
+        return route.pools.front().pool;
+    std::string name;
+    for (weighted_pool const& part : route.pools)
+    {
+        if (!name.empty())
+            name += '+';
+        name += part.pool + ':' + std::to_string(part.weight);
+    }
+    return name;
+}
+
+bool serves(published_route const& route, std::string_view pool)
+{
+    return std::ranges::any_of(
+        route.pools,
+        [pool](weighted_pool const& part)
+        {
+            return part.pool == pool && part.weight > 0;
+        });
+}
+
+upstream_id id_of(tagged_upstream const& shown)
+{
+    return upstream_id(shown.registered.address.value());
+}
+
+upstream make_upstream(tagged_upstream const& shown)
+{
+    upstream made;
+    made.id = id_of(shown);
+    made.name = name_instance(shown.registered.instance);
+    made.domain = shown.domain;
+    made.domain_name = shown.registered.failure_domain;
+    made.labels = {{"pool", shown.registered.pool}};
+    made.slots = shown.registered.slots;
+    made.is_draining = shown.registered.is_draining;
+    return made;
+}
+
+service make_service(
+    published_route const& route, std::span<tagged_upstream const> upstreams)
+{
+    service made;
+    std::string const place =
+        format_ipv4(route.address) + ':' + std::to_string(route.port);
+    made.id = make_service_id(registry_organisation, place);
+    made.organisation = make_organisation_id(registry_organisation);
+    made.name = name_pools(route);
+    made.address = {route.address, route.port, transport_protocol::tcp};
+    made.traffic = route.traffic;
+    made.is_idempotent = route.is_idempotent;
+    for (tagged_upstream const& each : upstreams)
+    {
+        if (!each.missing_since && serves(route, each.registered.pool))
+            made.upstreams.push_back(id_of(each));
+    }
+    std::ranges::sort(made.upstreams);
+    return made;
+}
+
+upstream_condition condition_of(tagged_upstream const& shown)
+{
+    if (shown.registered.is_draining)
+        return upstream_condition::draining;
+    return shown.is_unreachable ? upstream_condition::failed
+                                : upstream_condition::healthy;
+}
+
+} // namespace
+
+std::shared_ptr<directory const> make_shown_directory(
+    route_listing const& routes, std::span<tagged_upstream const> upstreams)
+{
+    std::vector<service> services;
+    services.reserve(routes.routes.size());
+    for (published_route const& route : routes.routes)
+        services.push_back(make_service(route, upstreams));
+    std::vector<upstream> shown;
+    absl::flat_hash_set<upstream_id> seen;
+    for (tagged_upstream const& each : upstreams)
+    {
+        // While an address changes hands, two may claim it for a moment.
+        if (!each.missing_since && seen.insert(id_of(each)).second)
+            shown.push_back(make_upstream(each));
+    }
+    return std::make_shared<directory const>(
+        std::move(services), std::move(shown));
+}
+
+std::vector<placement::upstream_view>
+make_shown_upstreams(time_point now, std::span<tagged_upstream const> upstreams)
+{
+    std::vector<placement::upstream_view> shown;
+    for (tagged_upstream const& each : upstreams)
+    {
+        if (each.missing_since)
+            continue;
+        shown.push_back(
+            {.upstream = id_of(each),
+             .flows = each.flows,
+             .condition = condition_of(each),
+             .reported_load_permille = 0,
+             .is_ejected = now < each.avoided_until || each.is_unreachable,
+             .is_cold = now < each.cold_until});
+    }
+    std::ranges::sort(shown, {}, &placement::upstream_view::upstream);
+    return shown;
+}
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/reducer/tagged_view.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <model/directory.hpp>
+#include <placement/placement.hpp>
+#include <tagging/tag_router.hpp>
+
+#include <memory>
+#include <vector>
+
+/// What the command line shows of flows whose packets carry tags, in the
+/// terms that it has for declarations.
+namespace cairnhead
+{
+
+/// The registry's routes as services, named after their pools, and its
+/// upstreams. Upstreams that left the registry are not shown. No
+/// precondition. Thread safety: no shared state.
+[[nodiscard]] std::shared_ptr<directory const> make_shown_directory(
+    route_listing const& routes, std::span<tagged_upstream const> upstreams);
+
+/// How the upstreams do, sorted by id. No precondition. Thread safety: no
+/// shared state.
+[[nodiscard]] std::vector<placement::upstream_view> make_shown_upstreams(
+    time_point now, std::span<tagged_upstream const> upstreams);
+
+} // namespace cairnhead
--- a/libraries/settings/settings.cpp
+++ b/libraries/settings/settings.cpp
@@ -86,6 +86,7 @@
         this->read_logging(file);
         this->read_reducer_sections(file);
         this->check_ports(file);
+        this->check_pairing(file);
         if (this->errors.is_empty())
             return std::move(this->result);
         throw settings_rejected(hide_secrets(this->errors.take()));
@@ -172,8 +173,17 @@
         this->result.reducer.memory = flow_memory::tags;
     }
 
+    /// Reports a setting that the chosen encapsulation does not have: read
+    /// over, it would let its writer believe that it counts.
+    void refuse(settings_mapping const& mapping, std::string_view key)
+    {
+        if (mapping.find(key) != nullptr)
+            this->add(kind::conflicting_values, mapping, key);
+    }
+
     void read_gue_fabric(settings_mapping const& mapping)
     {
+        this->refuse(mapping, "listen");
         fabric_settings& fabric = this->result.fabric;
         read_port(
             mapping, "listen_port", port_rule::required, fabric.listen_port,
@@ -187,6 +197,8 @@
     /// Callers get their packets at the port at which this VM gets theirs.
     void read_tagged_fabric(settings_mapping const& mapping)
     {
+        this->refuse(mapping, "listen_port");
+        this->refuse(mapping, "return");
         fabric_settings& fabric = this->result.fabric;
         if (mapping.find("sources") != nullptr)
             fabric.sources = this->read_addresses(mapping, "sources");
@@ -303,7 +315,13 @@
                 read_scalar(item, path, this->errors);
             if (text == nullptr)
                 continue;
-            yaml_value const host{item.place, text->substr(0, text->find(':'))};
+            std::size_t const colon = std::min(text->find(':'), text->size());
+            std::string const port = text->substr(colon);
+            bool const is_port_readable =
+                port.empty() || parse_decimal(port.substr(1)).has_value();
+            if (!is_port_readable)
+                this->errors.add(kind::bad_port, item.place, path);
+            yaml_value const host{item.place, text->substr(0, colon)};
             std::optional<ipv4_address> const address =
                 read_address(host, path, this->errors);
             if (address.has_value())
@@ -463,6 +481,19 @@
             this->claim_port(file, "readiness", read.readiness.port, listeners);
     }
 
+    /// Tags name instances, which only a registry has; and flows without tags
+    /// need what organisations declare. A VM with the one and not the other
+    /// would start and pass nothing on.
+    void check_pairing(settings_mapping const& file)
+    {
+        bool const has_tags =
+            this->result.fabric.encapsulation == fabric_encapsulation::tagged;
+        bool const has_registry =
+            this->result.publishes == platform_protocol::metadata_store;
+        if (has_tags != has_registry)
+            this->add(kind::conflicting_values, file, "platform");
+    }
+
     void claim_port(
         settings_mapping const& file,
         std::string_view section,
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -44,23 +44,28 @@
 {
 }
 
-void tag_router::set_listings(
+bool tag_router::set_listings(
     time_point now,
     std::shared_ptr<route_listing const> new_routes,
     std::shared_ptr<upstream_listing const> new_upstreams)
 {
-    if (new_routes != nullptr && new_routes != this->routes)
+    bool const are_routes_new =
+        new_routes != nullptr && new_routes != this->routes;
+    bool const are_upstreams_new =
+        new_upstreams != nullptr && new_upstreams != this->listed;
+    if (are_routes_new)
     {
         this->routes = std::move(new_routes);
         this->route_by_address.clear();
         for (published_route const& route : this->routes->routes)
             this->route_by_address[address_of(route)] = &route;
     }
-    if (new_upstreams != nullptr && new_upstreams != this->listed)
+    if (are_upstreams_new)
     {
         this->listed = std::move(new_upstreams);
         this->known.update(now, *this->listed);
     }
+    return are_routes_new || are_upstreams_new;
 }
 
 void tag_router::route(
@@ -554,6 +559,12 @@
     return this->known.all();
 }
 
+tagged_upstream const* tag_router::upstream_of(flow_id flow) const
+{
+    tagged_flow const* const held = this->flows.find(flow);
+    return held == nullptr ? nullptr : this->known.find(held->upstream);
+}
+
 std::size_t tag_router::flow_count() const
 {
     return this->flows.size();
--- a/libraries/tagging/tagged_upstreams.cpp
+++ b/libraries/tagging/tagged_upstreams.cpp
@@ -113,6 +113,13 @@
     return &this->upstreams[found->second];
 }
 
+tagged_upstream const* tagged_upstreams::find(upstream_tag tag) const
+{
+    auto const found = this->by_tag.find(tag);
+    return found == this->by_tag.end() ? nullptr
+                                       : &this->upstreams[found->second];
+}
+
 tagged_upstream* tagged_upstreams::choose(
     time_point now, std::string_view pool, upstream_tag excluded)
 {
--- a/libraries/tagging/tagged_upstreams.hpp
+++ b/libraries/tagging/tagged_upstreams.hpp
@@ -62,6 +62,7 @@
     /// The upstream of a tag, or nullptr; valid until the next change.
     /// No precondition.
     [[nodiscard]] tagged_upstream* find(upstream_tag tag);
+    [[nodiscard]] tagged_upstream const* find(upstream_tag tag) const;
 
     /// Chooses an upstream of the pool for a new flow: the least loaded that
     /// is ready; one that lately left openings unanswered, or is missing from
