Tagging: Split the router by what it does

Found while reading it: flows that end with their upstream left its count at zero although openings and closing flows still stood on it, and were in no counter.

--- a/libraries/runtime/effect_executor.cpp
+++ b/libraries/runtime/effect_executor.cpp
@@ -78,6 +78,7 @@
     answered.destination = wanted.destination;
     answered.tcp_acknowledgement = wanted.acknowledged;
     this->parts.sender.reset_tagged(answered);
+    this->parts.counters.count_drop(drop_reason::upstream_unreachable);
 }
 
 void effect_executor::carry_out(repeat_opening const& wanted)
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -98,7 +98,7 @@
     void report_verdicts(effect_list& effects);
     void check_silent(time_point now, effect_list& effects);
     void suspect_all(failure_domain_id domain);
-    void end_flows_of(tagged_upstream& upstream, effect_list& effects);
+    void end_flows_of(tagged_upstream const& upstream, effect_list& effects);
     void route_by_tag(
         time_point now, packet_arrived const& packet, effect_list& effects);
     [[nodiscard]] upstream_tag tag_in_force(packet_arrived const& packet) const;
--- /dev/null
+++ b/libraries/tagging/tag_router_openings.cpp
@@ -0,0 +1,207 @@
+#include <tagging/tag_router.hpp>
+
+#include <base/hash.hpp>
+
+#include <numeric>
+
+/// Openings: where they go, and where they go when nobody answers them.
+namespace cairnhead
+{
+
+namespace
+{
+
+using std::chrono_literals::operator""s;
+
+/// An opening that nobody confirmed is over after this: callers give up
+/// earlier.
+constexpr duration opening_lifetime = 3s;
+
+/// A caller's SYN this long after the flow's own is no copy of it: the caller
+/// uses the ports again.
+constexpr duration copy_window = 3s;
+
+} // namespace
+
+void tag_router::route_opening(
+    time_point now, packet_arrived const& packet, effect_list& effects)
+{
+    tagged_flow* const flow = this->flows.find(packet.flow);
+    bool const is_copy = flow != nullptr &&
+                         now < flow->opened_at + copy_window &&
+                         flow->state != tagged_flow_state::closing;
+    if (is_copy)
+        return this->route_copy(now, packet, *flow, effects);
+    this->forget(packet.flow);
+    this->place_opening(now, packet, upstream_tag(), effects);
+}
+
+void tag_router::route_copy(
+    time_point now,
+    packet_arrived const& packet,
+    tagged_flow& flow,
+    effect_list& effects)
+{
+    tagged_upstream* const upstream = this->known.find(flow.upstream);
+    bool const has_data = packet.phase == packet_phase::opening_with_data;
+    bool const may_stay = upstream != nullptr &&
+                          !upstream->registered.is_draining &&
+                          this->route_by_address.contains(packet.destination);
+    // Data may have run where it was sent first, so it goes nowhere else.
+    if (has_data && upstream != nullptr)
+        return send(packet, *upstream, effects);
+    // Counted from when this VM sent the opening, not from when the caller
+    // did: a VM that was held up finds the opening and its copy together, and
+    // would take every upstream for dead.
+    bool const is_unanswered =
+        flow.state == tagged_flow_state::opening &&
+        now >= flow.opened_at + this->settings.answer_timeout;
+    if (may_stay && !is_unanswered)
+        return send(packet, *upstream, effects);
+    if (upstream != nullptr && is_unanswered)
+        this->note_unanswered(now, *upstream);
+    upstream_tag const excluded = flow.upstream;
+    this->forget(packet.flow);
+    // It carries no data, and the caller answers the first upstream that
+    // answers it; so asking a second one cannot run anything twice.
+    this->place_opening(now, packet, excluded, effects);
+}
+
+void tag_router::place_opening(
+    time_point now,
+    packet_arrived const& packet,
+    upstream_tag excluded,
+    effect_list& effects)
+{
+    auto const route = this->route_by_address.find(packet.destination);
+    if (route == this->route_by_address.end())
+    {
+        effects.emplace_back(
+            drop_packet{packet.token, drop_reason::unknown_destination});
+        return;
+    }
+    if (packet.phase == packet_phase::opening_with_data &&
+        !route->second->is_idempotent)
+    {
+        // Its copy may reach another VM, and be run by a second upstream.
+        // Callers repeat it without the data (RFC 7413 section 4.1.3).
+        effects.emplace_back(
+            drop_packet{packet.token, drop_reason::refused_silently});
+        return;
+    }
+    tagged_upstream const* const chosen =
+        this->choose(now, packet.destination, packet.flow, excluded);
+    if (chosen == nullptr)
+    {
+        effects.emplace_back(refuse_opening{
+            .token = packet.token,
+            .organisation = {},
+            .style = refusal_style::reset,
+            .reason = refusal_reason::no_healthy_upstream,
+            .retry_at = now + 1s});
+        return;
+    }
+    this->remember(
+        packet.flow, {.caller = packet.source,
+                      .destination = packet.destination,
+                      .upstream = chosen->tag,
+                      .state = tagged_flow_state::opening,
+                      .opened_at = now,
+                      .expires_at = now + opening_lifetime,
+                      .also_asked = excluded,
+                      .progress = {},
+                      .seen_at = now});
+    this->await_answer(now, packet);
+    send(packet, *chosen, effects);
+}
+
+tagged_upstream* tag_router::choose(
+    time_point now,
+    endpoint const& destination,
+    flow_id flow,
+    upstream_tag excluded)
+{
+    auto const found = this->route_by_address.find(destination);
+    if (found == this->route_by_address.end())
+        return nullptr;
+    std::string_view const pool = this->pool_of(*found->second, flow);
+    tagged_upstream* const chosen = this->known.choose(now, pool, excluded);
+    if (chosen != nullptr)
+        return chosen;
+    return this->known.choose(now, pool, upstream_tag());
+}
+
+void tag_router::await_answer(time_point now, packet_arrived const& packet)
+{
+    // Data may have run where it was sent, so only a bare opening is repeated.
+    if (packet.phase != packet_phase::opening || packet.opening_bytes.empty())
+        return;
+    this->unconfirmed.add(
+        {.flow = packet.flow,
+         .destination = packet.destination,
+         .bytes = {packet.opening_bytes.begin(), packet.opening_bytes.end()},
+         .retries = 0,
+         .due_at = now + this->settings.retry_after});
+}
+
+void tag_router::retry(
+    time_point now, pending_opening opening, effect_list& effects)
+{
+    tagged_flow* const flow = this->flows.find(opening.flow);
+    bool const is_waiting = flow != nullptr &&
+                            flow->state == tagged_flow_state::opening &&
+                            opening.retries < this->settings.maximum_retries;
+    if (!is_waiting)
+        return;
+    // The caller repeats its opening only after a fifth of a second, by which
+    // time most requests of interest to people are late already.
+    upstream_tag const silent = flow->upstream;
+    if (tagged_upstream* const asked = this->known.find(silent))
+        this->note_unanswered(now, *asked);
+    tagged_upstream const* const chosen =
+        this->choose(now, opening.destination, opening.flow, silent);
+    if (chosen == nullptr)
+        return;
+    endpoint const caller = flow->caller;
+    this->forget(opening.flow);
+    this->remember(
+        opening.flow, {.caller = caller,
+                       .destination = opening.destination,
+                       .upstream = chosen->tag,
+                       .state = tagged_flow_state::opening,
+                       .opened_at = now,
+                       .expires_at = now + opening_lifetime,
+                       .also_asked = silent,
+                       .progress = {},
+                       .seen_at = now});
+    registered_upstream const& at = chosen->registered;
+    effects.emplace_back(repeat_opening{
+        opening.bytes, {at.address, at.port, at.instance}, chosen->tag});
+    ++opening.retries;
+    opening.due_at = now + this->settings.retry_after;
+    this->unconfirmed.add(std::move(opening));
+}
+
+std::string_view
+tag_router::pool_of(published_route const& route, flow_id flow) const
+{
+    std::uint64_t const total = std::accumulate(
+        route.pools.begin(), route.pools.end(), std::uint64_t{0},
+        [](std::uint64_t sum, weighted_pool const& part)
+        {
+            return sum + part.weight;
+        });
+    if (total == 0)
+        return {};
+    // By the flow's hash, so that all VMs send its copies to one pool.
+    std::uint64_t point = hash_pair(flow.value(), 0) % total;
+    for (weighted_pool const& part : route.pools)
+    {
+        if (point < part.weight)
+            return part.pool;
+        point -= part.weight;
+    }
+    return {};
+}
+
+} // namespace cairnhead
--- a/libraries/tagging/tagged_flows.hpp
+++ b/libraries/tagging/tagged_flows.hpp
@@ -29,7 +29,8 @@
     endpoint destination;
     upstream_tag upstream;
     tagged_flow_state state = tagged_flow_state::opening;
-    /// When this VM sent the opening last.
+    /// When this VM sent the opening last; the earliest moment there is for a
+    /// flow that was opened elsewhere.
     time_point opened_at;
     time_point expires_at;
     /// The other of two upstreams that got the opening; zero for none.
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -9,9 +9,9 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <variant>
-#include <stdexcept>
 #include <vector>
 
 /// A thin fixture: a few reducers whose effects reach each other after a
