--- a/libraries/reducer/tagged_view.cpp
+++ b/libraries/reducer/tagged_view.cpp
@@ -15,9 +15,6 @@
 namespace
 {
 
-/// The registry has no organisations.
-constexpr std::string_view registry_organisation = "registry";
-
 std::string name_instance(instance_number instance)
 {
     std::array<char, sizeof("i-0123456789abcdef")> text{};
@@ -74,9 +71,10 @@
     service made;
     std::string const place =
         format_ipv4(route.address) + ':' + std::to_string(route.port);
-    made.id = make_service_id(registry_organisation, place);
-    made.organisation = make_organisation_id(registry_organisation);
-    made.name = name_pools(route);
+    made.id = make_service_id(registry_organisation_name, place);
+    made.organisation = make_organisation_id(registry_organisation_name);
+    made.name = std::string(registry_organisation_name) + '/';
+    made.name += name_pools(route);
     made.address = {route.address, route.port, transport_protocol::tcp};
     made.traffic = route.traffic;
     made.is_idempotent = route.is_idempotent;
--- a/libraries/registry/registry.hpp
+++ b/libraries/registry/registry.hpp
@@ -21,6 +21,9 @@
 inline constexpr std::string_view route_document_name = "registry/routes";
 inline constexpr std::string_view upstream_document_name = "registry/upstreams";
 
+/// The registry has no organisations; where one is named, it is this.
+inline constexpr std::string_view registry_organisation_name = "registry";
+
 /// One run of one upstream: each start has a new number, so that an address
 /// that is used again is never taken for the upstream that had it before.
 using instance_number = strong_value<struct instance_number_tag, std::uint64_t>;
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -1,5 +1,7 @@
 #include <tagging/tag_router.hpp>
 
+#include <base/hash.hpp>
+
 #include <algorithm>
 
 namespace cairnhead
@@ -16,6 +18,10 @@
 /// A flow that the caller closed still acknowledges for a while.
 constexpr duration closing_lifetime = 2s;
 
+/// All routes of a registry count as one organisation's.
+organisation_id const registry_organisation =
+    make_organisation_id(registry_organisation_name);
+
 endpoint address_of(published_route const& route)
 {
     return {route.address, route.port, transport_protocol::tcp};
@@ -100,7 +106,7 @@
             drop_packet{packet.token, drop_reason::unknown_flow});
         return;
     }
-    this->follow(now, packet, *upstream);
+    this->follow(now, packet, *upstream, effects);
     if (!this->must_reset(packet, *upstream))
         return send(packet, *upstream, effects);
     this->forget(packet.flow);
@@ -121,7 +127,10 @@
 }
 
 void tag_router::follow(
-    time_point now, packet_arrived const& packet, tagged_upstream& upstream)
+    time_point now,
+    packet_arrived const& packet,
+    tagged_upstream& upstream,
+    effect_list& effects)
 {
     if (packet.phase == packet_phase::reset)
         return this->forget(packet.flow);
@@ -129,10 +138,7 @@
     if (flow == nullptr)
         return;
     if (flow->state == tagged_flow_state::opening)
-    {
-        flow->state = tagged_flow_state::established;
-        this->note_answered(now, upstream);
-    }
+        this->confirm(now, *flow, upstream, effects);
     this->note_progress(now, packet, *flow, upstream);
     flow->seen_at = now;
     if (packet.phase == packet_phase::closing)
@@ -142,6 +148,22 @@
                            : now + this->idle_timeout();
 }
 
+void tag_router::confirm(
+    time_point now,
+    tagged_flow& flow,
+    tagged_upstream& upstream,
+    effect_list& effects)
+{
+    flow.state = tagged_flow_state::established;
+    this->note_answered(now, upstream);
+    auto const route = this->route_by_address.find(flow.destination);
+    bool const was_opened_here = flow.opened_at != time_point::min();
+    if (route == this->route_by_address.end() || !was_opened_here)
+        return;
+    effects.emplace_back(observe_handshake{
+        registry_organisation, route->second->traffic, now - flow.opened_at});
+}
+
 tagged_flow* tag_router::enter(
     time_point now, packet_arrived const& packet, upstream_tag tag)
 {
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -107,7 +107,13 @@
     void follow(
         time_point now,
         packet_arrived const& packet,
-        tagged_upstream& upstream);
+        tagged_upstream& upstream,
+        effect_list& effects);
+    void confirm(
+        time_point now,
+        tagged_flow& flow,
+        tagged_upstream& upstream,
+        effect_list& effects);
     [[nodiscard]] tagged_flow*
     enter(time_point now, packet_arrived const& packet, upstream_tag tag);
     void note_progress(
--- a/tests/reducer/tagged_view_test.cpp
+++ b/tests/reducer/tagged_view_test.cpp
@@ -39,11 +39,13 @@
     service const* const plain =
         shown->find_service({address, 443, transport_protocol::tcp});
     cr_assert_not_null(plain);
-    cr_expect(plain->name == "main" && plain->upstreams.size() == 1);
+    cr_expect(plain->name == "registry/main" && plain->upstreams.size() == 1);
     service const* const split =
         shown->find_service({address, 444, transport_protocol::tcp});
     cr_assert_not_null(split);
-    cr_expect(split->name == "main:9+other:1" && split->upstreams.size() == 2);
+    cr_expect(
+        split->name == "registry/main:9+other:1" &&
+        split->upstreams.size() == 2);
     cr_assert_eq(shown->upstreams().size(), 2);
     upstream const* const first =
         shown->find_upstream(upstream_id(0x0a000000 + 0x00a1b2c3));
--- a/tests/tagging/test_tagging.cpp
+++ b/tests/tagging/test_tagging.cpp
@@ -342,3 +342,19 @@
     vm.list({make_upstream(twin)});
     cr_expect_eq(vm.open(9), twin);
 }
+
+Test(tagging, a_confirmed_opening_is_observed_once)
+{
+    bench vm({make_upstream(1)});
+    vm.open(7, idempotent_port);
+    vm.advance(5ms);
+    vm.go_on(7, 1);
+    vm.go_on(7, 1);
+    auto const seen = vm.take<observe_handshake>();
+    cr_assert_eq(seen.size(), 1);
+    cr_expect(seen.front().latency == 5ms);
+    cr_expect(seen.front().traffic == flow_class::feed);
+    // Opened through another VM: nobody here knows when.
+    vm.go_on(8, 1);
+    cr_expect(vm.take<observe_handshake>().empty());
+}
