--- a/tests/store_client/test_metadata_store_client.cpp
+++ b/tests/store_client/test_metadata_store_client.cpp
@@ -11,8 +11,9 @@
 using namespace cairnhead;
 using namespace std::chrono_literals;
 
-// What the client does when the store does not answer as described. The
-// answers themselves are tried through whole fleets.
+// What the client does when the store does not answer as described. Good
+// answers are tried in tests/users_platform, and over processes in
+// tests/tagged_path.
 
 namespace
 {
