--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -280,7 +280,7 @@
         {"tagged,", "tagged, listen_port: 80,", kind::conflicting_values, 2,
          46},
         {"tagged,", "tagged, return: '10.1.0.10:80',", kind::conflicting_values,
-         2, 33},
+         2, 42},
         {"metadata_store", "etcd", kind::out_of_range, 9, 52},
         {"metadata_store", "[]", kind::wrong_type, 9, 52},
         {"8173", "6073", kind::conflicting_values, 10, 12},
