Tagging: Give the same effects for the same events

Cause (found by reading): flows that end with their upstream, and failure domains, were visited in the order of hash tables, which differs from process to process. Change: domains are ordered, flows that end are sorted by caller.

--- a/libraries/tagging/domain_watch.hpp
+++ b/libraries/tagging/domain_watch.hpp
@@ -2,7 +2,7 @@
 
 #include <event/settings.hpp>
 
-#include <absl/container/flat_hash_map.h>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -74,7 +74,8 @@
 
     tagging_settings const& settings;
     failure_domain_id own_domain;
-    absl::flat_hash_map<failure_domain_id, domain_state> domains;
+    /// Ordered, as the same events must give the same effects.
+    std::map<failure_domain_id, domain_state> domains;
     std::vector<failure_domain_id> questions;
     std::vector<verdict> verdicts;
 };
--- a/libraries/tagging/tag_router_reach.cpp
+++ b/libraries/tagging/tag_router_reach.cpp
@@ -62,16 +62,14 @@
     // A caller that sends its next request on such a flow waits until its own
     // time is over, and may not repeat what must not run twice. One whose idle
     // flow ends opens another.
-    this->flows.remove_open(
-        upstream.tag,
-        [&](tagged_flow const& flow)
-        {
-            this->uncount(flow);
-            if (!flow.progress)
-                return;
-            effects.emplace_back(reset_known_flow{
-                flow.caller, flow.destination, flow.progress->acknowledged});
-        });
+    for (tagged_flow const& flow : this->flows.take_established(upstream.tag))
+    {
+        this->uncount(flow);
+        if (!flow.progress)
+            continue;
+        effects.emplace_back(reset_known_flow{
+            flow.caller, flow.destination, flow.progress->acknowledged});
+    }
 }
 
 void tag_router::suspect_all(failure_domain_id domain)
--- a/libraries/tagging/tagged_flows.cpp
+++ b/libraries/tagging/tagged_flows.cpp
@@ -1,5 +1,7 @@
 #include <tagging/tagged_flows.hpp>
 
+#include <algorithm>
+
 namespace cairnhead
 {
 
@@ -31,6 +33,26 @@
     this->flows.erase(flow);
 }
 
+std::vector<tagged_flow> tagged_flows::take_established(upstream_tag upstream)
+{
+    std::vector<tagged_flow> taken;
+    absl::erase_if(
+        this->flows,
+        [&](auto const& entry)
+        {
+            tagged_flow const& flow = entry.second;
+            bool const is_meant = flow.upstream == upstream &&
+                                  flow.state == tagged_flow_state::established;
+            if (is_meant)
+                taken.push_back(flow);
+            return is_meant;
+        });
+    // The table's order differs from process to process, while the same
+    // events must give the same effects.
+    std::ranges::sort(taken, {}, &tagged_flow::caller);
+    return taken;
+}
+
 std::size_t tagged_flows::size() const
 {
     return this->flows.size();
--- a/libraries/tagging/tagged_flows.hpp
+++ b/libraries/tagging/tagged_flows.hpp
@@ -78,24 +78,10 @@
             });
     }
 
-    /// Removes all flows of an upstream that the caller did not close, and
-    /// calls `on_removed` for each. No precondition.
-    template <typename Function>
-    void remove_open(upstream_tag upstream, Function const& on_removed)
-    {
-        absl::erase_if(
-            this->flows,
-            [&](auto const& entry)
-            {
-                tagged_flow const& flow = entry.second;
-                bool const is_meant =
-                    flow.upstream == upstream &&
-                    flow.state == tagged_flow_state::established;
-                if (is_meant)
-                    on_removed(flow);
-                return is_meant;
-            });
-    }
+    /// Removes all flows of an upstream that are established, and gives them,
+    /// sorted by caller. No precondition.
+    [[nodiscard]] std::vector<tagged_flow>
+    take_established(upstream_tag upstream);
 
     /// No precondition.
     [[nodiscard]] std::size_t size() const;
--- a/tests/tagging/test_unreachable.cpp
+++ b/tests/tagging/test_unreachable.cpp
@@ -1,5 +1,7 @@
 #include "router_fixture.hpp"
 
+#include <algorithm>
+
 using namespace cairnhead;
 using namespace cairnhead::tagging_test;
 
@@ -189,6 +191,8 @@
     vm.end_check(1, connection_outcome::unanswered);
     auto const ended = vm.take<reset_known_flow>();
     cr_expect_eq(ended.size(), 3);
+    // The same events give the same effects, in every process.
+    cr_expect(std::ranges::is_sorted(ended, {}, &reset_known_flow::caller));
     for (reset_known_flow const& flow : ended)
         cr_expect_eq(flow.acknowledged, 500);
     for (std::uint64_t flow = 10; flow < 20; ++flow)
