Tests: Let the caller of tagged flows confirm its openings

Change: openings are confirmed; the stand-ins are headers with less between them. Ruled out: the product's own codec for the stand-ins, as it takes no SYN+ACK and would check itself.

--- a/tests/tagged_path/test_tagged_path.cpp
+++ b/tests/tagged_path/test_tagged_path.cpp
@@ -3,8 +3,6 @@
 
 #include <thin_path/child_process.hpp>
 #include <thin_path/fleet_files.hpp>
-#include <thin_path/wait_until.hpp>
-#include <users_platform/samples.hpp>
 
 #include <base/ipv4.hpp>
 
@@ -14,6 +12,7 @@
 #include <csignal>
 #include <fstream>
 #include <optional>
+#include <sstream>
 
 using namespace cairnhead;
 using namespace cairnhead::tagged_path;
@@ -70,8 +69,11 @@
     void
     register_upstream(upstream_standin const& which, std::string const& state)
     {
-        this->platform.put(
-            which.key(), samples::make_value(which.address_text(), state));
+        std::ostringstream key;
+        key << "servers/i-" << std::hex << which.instance();
+        std::string const address = format_ipv4(which.address().address) + ":" +
+                                    std::to_string(upstream_port);
+        this->platform.put(key.str(), samples::make_value(address, state));
     }
 
     void start(int number)
@@ -180,7 +182,7 @@
 
 public:
     store platform;
-    caller opener;
+    caller_standin opener;
 
 private:
     // Last, so that they end before what they speak to.
@@ -314,11 +316,12 @@
     flow opened = bench.opener.open(bench.entrance(a));
     bench.opener.send_data(bench.entrance(a), opened);
     bench.serving(opened).go_silent();
-    packet const reset = bench.opener.provoke_reset(bench.entrance(a), opened);
+    auto const [reset, sender] =
+        bench.opener.provoke_reset(bench.entrance(a), opened);
     cr_expect(reset.source == route);
-    cr_expect(reset.destination == bench.opener.address_of(opened));
+    cr_expect(reset.destination == opened.caller);
     cr_expect_eq(reset.sequence, opened.acknowledgement);
     cr_expect_eq(reset.sum, 0);
     cr_expect(reset.data.empty());
-    cr_expect(reset.sender == bench.entrance(a));
+    cr_expect(sender == bench.entrance(a));
 }
