Tests: Let two checkouts be tried on one machine

Ruled out: a port that the product left open; the address is the test's own. Change: each process has a loopback network of its own.

--- a/tests/thin_path/fleet_files.cpp
+++ b/tests/thin_path/fleet_files.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <sstream>
 #include <system_error>
+#include <unistd.h>
 
 namespace cairnhead::thin_path
 {
@@ -35,10 +36,21 @@
     return text.str();
 }
 
+/// The second number of this process's loopback addresses. Two checkouts that
+/// are tried on one machine would otherwise take each other's ports.
+int own_network()
+{
+    constexpr int first_network = 64;
+    constexpr int networks = 128;
+    return first_network + ::getpid() % networks;
+}
+
 } // namespace
 
 address_plan::address_plan(int test_number)
-    : prefix("127.61." + std::to_string(test_number) + ".")
+    : prefix(
+          "127." + std::to_string(own_network()) + "." +
+          std::to_string(test_number) + ".")
 {
 }
 
--- a/tests/thin_path/fleet_files.hpp
+++ b/tests/thin_path/fleet_files.hpp
@@ -16,7 +16,7 @@
     /// Precondition: no other test has the number.
     explicit address_plan(int test_number);
 
-    /// `127.61.N.HOST`.
+    /// `127.NETWORK.N.HOST`; the network is this process's own.
     [[nodiscard]] std::string host(int number) const;
 
     [[nodiscard]] std::string platform() const;
