Reducer: Call a VM with tags ready only when it knows the registry

Cause: a VM that had joined was ready although it knew no route and no upstream, when a peer answered whose documents could not be had. Found by a trial with a product that kept documents from peers: readiness said 200 and no packet was passed on for 20 s. Ruled out: joining later; a VM that knows the registry may serve before. Change: with tags only the registry counts.

--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -159,8 +159,12 @@
 {
     if (this->handing_over.is_leaving())
         return false;
-    return this->tagged.is_informed() ||
-           this->state() == serving_state::serving;
+    // With tags, a VM may have joined and know neither route nor upstream: a
+    // peer answered, but its documents could not be had. Callers sent there
+    // would wait in vain.
+    if (this->settings.memory == flow_memory::tags)
+        return this->tagged.is_informed();
+    return this->state() == serving_state::serving;
 }
 
 flow_explanation
