Tagging: End verdicts about reachability by themselves

During a zone cut at 7 to 13 s the VM found an upstream out of reach. The cut healed, no flow showed it, nobody was asked again, and at 28.6 s a flow that moved there from another VM was reset on its first packet.

Change: a verdict about an upstream holds for three periods of checks and is checked again each second; a domain's VMs are asked again each second; an upstream that accepts a connection is no longer silent.

--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -229,6 +229,8 @@
 {
     this->versions.tick(now, out);
     this->tagged.tick(now);
+    this->tagged.advance(now, out);
+    this->ask_domains(out);
     if (!this->has_joined)
         return;
     this->members.tick(now, this->versions.digest(), out);
--- a/libraries/reducer/tagged_view.cpp
+++ b/libraries/reducer/tagged_view.cpp
@@ -87,12 +87,12 @@
     return made;
 }
 
-upstream_condition condition_of(tagged_upstream const& shown)
+upstream_condition condition_of(time_point now, tagged_upstream const& shown)
 {
     if (shown.registered.is_draining)
         return upstream_condition::draining;
-    return shown.is_unreachable ? upstream_condition::failed
-                                : upstream_condition::healthy;
+    return shown.is_unreachable(now) ? upstream_condition::failed
+                                     : upstream_condition::healthy;
 }
 
 } // namespace
@@ -127,9 +127,9 @@
         shown.push_back(
             {.upstream = id_of(each),
              .flows = each.flows,
-             .condition = condition_of(each),
+             .condition = condition_of(now, each),
              .reported_load_permille = 0,
-             .is_ejected = now < each.avoided_until || each.is_unreachable,
+             .is_ejected = now < each.avoided_until || each.is_unreachable(now),
              .is_cold = now < each.cold_until});
     }
     std::ranges::sort(shown, {}, &placement::upstream_view::upstream);
--- a/libraries/tagging/domain_watch.cpp
+++ b/libraries/tagging/domain_watch.cpp
@@ -103,6 +103,21 @@
     }
 }
 
+void domain_watch::ask_again(time_point now)
+{
+    for (auto& [domain, state] : this->domains)
+    {
+        bool const is_due =
+            state.is_unreachable && now >= state.asked_at + question_period;
+        if (!is_due)
+            continue;
+        // Any answer ends the verdict. Without a question nobody may speak to
+        // this VM for seconds after a cut has healed.
+        state.asked_at = now;
+        this->questions.push_back(domain);
+    }
+}
+
 std::optional<time_point> domain_watch::next_due() const
 {
     std::optional<time_point> due;
--- a/libraries/tagging/domain_watch.hpp
+++ b/libraries/tagging/domain_watch.hpp
@@ -35,6 +35,10 @@
     void note_silent(
         time_point now, failure_domain_id domain, std::size_t silent_upstreams);
 
+    /// Has the VMs of unreachable domains asked again. To be called every
+    /// second or so. No precondition.
+    void ask_again(time_point now);
+
     /// Draws conclusions that are due. No precondition.
     void advance(time_point now);
 
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -107,7 +107,7 @@
         return;
     }
     this->follow(now, packet, *upstream, effects);
-    if (!this->must_reset(packet, *upstream))
+    if (!this->must_reset(now, packet, *upstream))
         return send(packet, *upstream, effects);
     this->forget(packet.flow);
     effects.emplace_back(reset_flow{packet.token});
@@ -234,6 +234,8 @@
             this->uncount(expired);
         });
     this->known.forget_old(now);
+    this->suspect_unreachable(now);
+    this->domains.ask_again(now);
 }
 
 bool tag_router::is_informed() const
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -41,8 +41,8 @@
     void
     route(time_point now, packet_arrived const& packet, effect_list& effects);
 
-    /// Does what is due: sends openings again that nobody confirmed, and draws
-    /// conclusions about failure domains. No precondition.
+    /// Does what is due: sends openings again that nobody confirmed, draws
+    /// conclusions about failure domains, and starts checks. No precondition.
     void advance(time_point now, effect_list& effects);
 
     /// When `advance` should be called, if at all. No precondition.
@@ -59,7 +59,8 @@
     /// since the last call. No precondition.
     [[nodiscard]] std::vector<failure_domain_id> take_questions();
 
-    /// Forgets what is over. No precondition.
+    /// Forgets what is over, and finds what `advance` is to check again. No
+    /// precondition.
     void tick(time_point now);
 
     /// Whether it has both listings, without which it knows nothing. No
@@ -98,12 +99,15 @@
     void report_verdicts(effect_list& effects);
     void check_silent(time_point now, effect_list& effects);
     void suspect_all(failure_domain_id domain);
+    void suspect_unreachable(time_point now);
     void end_flows_of(tagged_upstream const& upstream, effect_list& effects);
     void route_by_tag(
         time_point now, packet_arrived const& packet, effect_list& effects);
     [[nodiscard]] upstream_tag tag_in_force(packet_arrived const& packet) const;
     [[nodiscard]] bool must_reset(
-        packet_arrived const& packet, tagged_upstream const& upstream) const;
+        time_point now,
+        packet_arrived const& packet,
+        tagged_upstream const& upstream) const;
     void follow(
         time_point now,
         packet_arrived const& packet,
--- a/libraries/tagging/tag_router_reach.cpp
+++ b/libraries/tagging/tag_router_reach.cpp
@@ -7,6 +7,15 @@
 namespace cairnhead
 {
 
+namespace
+{
+
+/// A verdict holds for so many periods of checks; one that is missed changes
+/// nothing yet.
+constexpr int verdict_periods = 3;
+
+} // namespace
+
 void tag_router::check_silent(time_point now, effect_list& effects)
 {
     for (upstream_tag const tag : this->suspects)
@@ -29,6 +38,15 @@
     this->suspects.clear();
 }
 
+void tag_router::suspect_unreachable(time_point now)
+{
+    for (tagged_upstream const& one : this->known.all())
+    {
+        if (one.is_unreachable(now) && !one.missing_since)
+            this->suspects.push_back(one.tag);
+    }
+}
+
 void tag_router::receive(
     time_point now, upstream_checked const& result, effect_list& effects)
 {
@@ -45,9 +63,17 @@
         now >= upstream->answered_at + this->settings.check_after;
     if (result.outcome == connection_outcome::refused)
         this->known.note_unanswered(now, *upstream);
-    if (upstream->is_unreachable == is_unreachable)
+    bool const was_unreachable = upstream->is_unreachable(now);
+    // A verdict that held until further notice would outlive the cut that led
+    // to it where no flow shows its end, and reset the next flow that comes
+    // by: one that was opened through another VM, and lives.
+    upstream->unreachable_until =
+        is_unreachable ? now + this->settings.check_period * verdict_periods
+                       : time_point{};
+    if (result.outcome == connection_outcome::connected)
+        upstream->silent_since.reset();
+    if (was_unreachable == is_unreachable)
         return;
-    upstream->is_unreachable = is_unreachable;
     auto const kind = is_unreachable ? report_kind::upstream_unreachable
                                      : report_kind::upstream_reachable;
     effects.emplace_back(
@@ -96,9 +122,11 @@
 }
 
 bool tag_router::must_reset(
-    packet_arrived const& packet, tagged_upstream const& upstream) const
+    time_point now,
+    packet_arrived const& packet,
+    tagged_upstream const& upstream) const
 {
-    bool const is_out_of_reach = upstream.is_unreachable ||
+    bool const is_out_of_reach = upstream.is_unreachable(now) ||
                                  this->domains.is_unreachable(upstream.domain);
     return packet.progress.has_data && upstream.silent_since && is_out_of_reach;
 }
--- a/libraries/tagging/tagged_upstreams.cpp
+++ b/libraries/tagging/tagged_upstreams.cpp
@@ -162,7 +162,7 @@
         return may_live ? standing::missing : standing::unusable;
     }
     bool const is_avoided = now < upstream.avoided_until ||
-                            upstream.is_unreachable ||
+                            upstream.is_unreachable(now) ||
                             this->domains.is_unreachable(upstream.domain);
     return is_avoided ? standing::avoided : standing::ready;
 }
@@ -201,7 +201,7 @@
     upstream.failures = 0;
     upstream.avoided_until = std::min(upstream.avoided_until, at);
     upstream.silent_since.reset();
-    upstream.is_unreachable = false;
+    upstream.unreachable_until = time_point{};
 }
 
 void tagged_upstreams::note_silent(time_point now, tagged_upstream& upstream)
--- a/libraries/tagging/tagged_upstreams.hpp
+++ b/libraries/tagging/tagged_upstreams.hpp
@@ -37,8 +37,15 @@
     /// When it may be checked again.
     time_point next_check_at;
     bool is_being_checked = false;
-    /// The last check found nobody, and it has answered nobody since.
-    bool is_unreachable = false;
+    /// A check found nobody: it counts as out of reach before this, unless it
+    /// answers earlier.
+    time_point unreachable_until;
+
+    /// No precondition. Thread safety: none.
+    [[nodiscard]] bool is_unreachable(time_point now) const
+    {
+        return now < this->unreachable_until;
+    }
 };
 
 /// The upstreams that the registry has or had lately, by tag and by pool.
--- a/tests/reducer/tagged_view_test.cpp
+++ b/tests/reducer/tagged_view_test.cpp
@@ -60,7 +60,7 @@
         make_upstream(3, "main")};
     upstreams[0].flows = 7;
     upstreams[1].registered.is_draining = true;
-    upstreams[2].is_unreachable = true;
+    upstreams[2].unreachable_until = time_point(std::chrono::seconds(1));
     auto const shown = make_shown_upstreams(time_point(), upstreams);
     cr_assert_eq(shown.size(), 3);
     cr_expect_eq(shown[0].flows, 7);
--- a/tests/tagging/router_fixture.hpp
+++ b/tests/tagging/router_fixture.hpp
@@ -77,6 +77,7 @@
     {
         this->now += time;
         this->router.tick(this->now);
+        this->router.advance(this->now, this->others);
     }
 
     /// The only packet effect that the packet led to.
--- a/tests/tagging/test_unreachable.cpp
+++ b/tests/tagging/test_unreachable.cpp
@@ -233,3 +233,65 @@
     vm.end_check(1, connection_outcome::unanswered);
     cr_expect(vm.take<reset_known_flow>().empty());
 }
+
+namespace
+{
+
+/// Finds the only upstream of the flows out of reach.
+void lose_upstream(bench& vm)
+{
+    vm.request(1, 1, 100);
+    vm.advance(vm.settings.check_after);
+    vm.request(1, 1, 100);
+    cr_assert_eq(vm.take<check_upstream>().size(), 1);
+    vm.end_check(1, connection_outcome::unanswered);
+    cr_assert_eq(vm.take<reset_known_flow>().size(), 1);
+}
+
+} // namespace
+
+Test(unreachable, an_upstream_that_can_be_reached_again_keeps_its_flows)
+{
+    // Symptom: a flow that lives is reset (seen in a hunt, mix with the seed
+    // 876283569699). Sequence: a zone is cut off, and an upstream in it is
+    // found out of reach; the cut heals; no flow goes there through this VM,
+    // until 16 s later one arrives that was opened through another VM. Cause:
+    // only an answer ended the verdict, and nobody was asked.
+    bench vm({make_upstream(1), make_upstream(2)});
+    lose_upstream(vm);
+    vm.wait(vm.settings.check_period);
+    cr_assert_eq(
+        vm.take<check_upstream>().size(), 1, "it is not checked again");
+    vm.end_check(1, connection_outcome::connected);
+    cr_expect_not(is_reset(vm.request(9, 1, 100)));
+    int opened_there = 0;
+    for (std::uint64_t flow = 10; flow < 20; ++flow)
+        opened_there += vm.establish(flow) == 1 ? 1 : 0;
+    cr_expect_gt(opened_there, 0);
+}
+
+Test(unreachable, an_old_verdict_resets_nothing)
+{
+    // Symptom: as above. Sequence: as above, and the check that would end the
+    // verdict is late. Cause: a verdict that held until further notice.
+    bench vm({make_upstream(1), make_upstream(2)});
+    lose_upstream(vm);
+    cr_expect(is_reset(vm.request(8, 1, 100)));
+    vm.advance(vm.settings.check_period * 4);
+    cr_expect_not(is_reset(vm.request(9, 1, 100)));
+}
+
+Test(unreachable, a_domain_out_of_reach_is_asked_again)
+{
+    // Symptom: flows are reset after a cut has healed. Sequence: as above, for
+    // a whole failure domain. Cause: its VMs were asked once only.
+    bench vm(two_domains());
+    fall_silent(vm);
+    cr_assert_eq(vm.router.take_questions().size(), 1);
+    vm.advance(vm.settings.ask_timeout);
+    cr_assert(is_reset(vm.request(far, far, 200)));
+    vm.wait(2s);
+    cr_expect_eq(vm.router.take_questions().size(), 1, "nobody asks again");
+    vm.router.note_heard(vm.now, cut_domain);
+    cr_expect_not(is_reset(vm.request(far, far, 200)));
+}
