--- a/libraries/base/identifiers.hpp
+++ b/libraries/base/identifiers.hpp
@@ -77,7 +77,10 @@
     std::uint16_t port = 0;
     transport_protocol protocol = transport_protocol::tcp;
 
+    // clang-tidy 14 takes the generated comparison with zero for a pointer's.
+    // NOLINTBEGIN(modernize-use-nullptr)
     friend auto operator<=>(endpoint const&, endpoint const&) = default;
+    // NOLINTEND(modernize-use-nullptr)
 
     template <typename Hash>
     friend Hash AbslHashValue(Hash state, endpoint const& item)
