Tagging: Remember an opening in one place, and look its route up once

Cause: reading the whole change once more: the entry of an opening was written out twice, and choose() looked up a route that its caller had just found. Ruled out: one function for placing and offering again: the one refuses, the other stays silent.

--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -77,6 +77,13 @@
     [[nodiscard]] std::size_t flow_count() const;
 
 private:
+    /// Whom a flow connects, as its packets say.
+    struct flow_ends
+    {
+        endpoint caller;
+        endpoint destination;
+    };
+
     void route_opening(
         time_point now, packet_arrived const& packet, effect_list& effects);
     void route_copy(
@@ -91,9 +98,15 @@
         effect_list& effects);
     [[nodiscard]] tagged_upstream* choose(
         time_point now,
-        endpoint const& destination,
+        published_route const& route,
         flow_id flow,
         upstream_tag excluded);
+    void remember_opening(
+        time_point now,
+        flow_id flow,
+        flow_ends const& ends,
+        tagged_upstream const& asked,
+        upstream_tag also_asked);
     void await_answer(time_point now, packet_arrived const& packet);
     void retry(time_point now, pending_opening opening, effect_list& effects);
     void report_verdicts(effect_list& effects);
--- a/libraries/tagging/tag_router_openings.cpp
+++ b/libraries/tagging/tag_router_openings.cpp
@@ -90,7 +90,7 @@
         return;
     }
     tagged_upstream const* const chosen =
-        this->choose(now, packet.destination, packet.flow, excluded);
+        this->choose(now, *route->second, packet.flow, excluded);
     if (chosen == nullptr)
     {
         effects.emplace_back(refuse_opening{
@@ -101,36 +101,45 @@
             .retry_at = now + 1s});
         return;
     }
-    this->remember(
-        packet.flow, {.caller = packet.source,
-                      .destination = packet.destination,
-                      .upstream = chosen->tag,
-                      .state = tagged_flow_state::opening,
-                      .opened_at = now,
-                      .expires_at = now + opening_lifetime,
-                      .also_asked = excluded,
-                      .progress = {},
-                      .seen_at = now});
+    this->remember_opening(
+        now, packet.flow, {packet.source, packet.destination}, *chosen,
+        excluded);
     this->await_answer(now, packet);
     send(packet, *chosen, effects);
 }
 
 tagged_upstream* tag_router::choose(
     time_point now,
-    endpoint const& destination,
+    published_route const& route,
     flow_id flow,
     upstream_tag excluded)
 {
-    auto const found = this->route_by_address.find(destination);
-    if (found == this->route_by_address.end())
-        return nullptr;
-    std::string_view const pool = this->pool_of(*found->second, flow);
+    std::string_view const pool = this->pool_of(route, flow);
     tagged_upstream* const chosen = this->known.choose(now, pool, excluded);
     if (chosen != nullptr)
         return chosen;
     return this->known.choose(now, pool, upstream_tag());
 }
 
+void tag_router::remember_opening(
+    time_point now,
+    flow_id flow,
+    flow_ends const& ends,
+    tagged_upstream const& asked,
+    upstream_tag also_asked)
+{
+    this->remember(
+        flow, {.caller = ends.caller,
+               .destination = ends.destination,
+               .upstream = asked.tag,
+               .state = tagged_flow_state::opening,
+               .opened_at = now,
+               .expires_at = now + opening_lifetime,
+               .also_asked = also_asked,
+               .progress = {},
+               .seen_at = now});
+}
+
 void tag_router::await_answer(time_point now, packet_arrived const& packet)
 {
     // Data may have run where it was sent, so only a bare opening is repeated.
@@ -158,22 +167,17 @@
     upstream_tag const silent = flow->upstream;
     if (tagged_upstream* const asked = this->known.find(silent))
         this->note_unanswered(now, *asked);
+    auto const route = this->route_by_address.find(opening.destination);
+    if (route == this->route_by_address.end())
+        return;
     tagged_upstream const* const chosen =
-        this->choose(now, opening.destination, opening.flow, silent);
+        this->choose(now, *route->second, opening.flow, silent);
     if (chosen == nullptr)
         return;
     endpoint const caller = flow->caller;
     this->forget(opening.flow);
-    this->remember(
-        opening.flow, {.caller = caller,
-                       .destination = opening.destination,
-                       .upstream = chosen->tag,
-                       .state = tagged_flow_state::opening,
-                       .opened_at = now,
-                       .expires_at = now + opening_lifetime,
-                       .also_asked = silent,
-                       .progress = {},
-                       .seen_at = now});
+    this->remember_opening(
+        now, opening.flow, {caller, opening.destination}, *chosen, silent);
     registered_upstream const& at = chosen->registered;
     effects.emplace_back(repeat_opening{
         opening.bytes, {at.address, at.port, at.instance}, chosen->tag});
