Versions: Let others read for readers that the platform turns away

Cause: both readers of each failure domain were among the VMs that the store turned away, while it served others. The election does not know who is turned away, and such a reader told nobody. Ruled out: more readers in each domain (each call is priced, and any number can be among those turned away). A freshness that rides on pings: it needs four or five rounds of pings to cross a domain, longer than the bound. Change: an elected reader whose watch fails asks the other VMs of its domain, one after the other, to read for three seconds, and keeps to the first one that the platform answers.

--- a/libraries/protocol/control_message.hpp
+++ b/libraries/protocol/control_message.hpp
@@ -48,7 +48,7 @@
     bool operator==(ping_request const&) const = default;
 };
 
-/// Whether a listing asks the receiver to answer with its own.
+/// Whether a message asks the receiver to answer with one of its kind.
 enum class listing_kind : std::uint8_t
 {
     request = 0,
@@ -105,6 +105,15 @@
     bool operator==(registry_change const&) const = default;
 };
 
+/// The platform does not answer the sender, an elected reader: read it for me
+/// for a while. The answer says that the platform answers its sender.
+struct reading_substitution
+{
+    listing_kind kind = listing_kind::request;
+
+    bool operator==(reading_substitution const&) const = default;
+};
+
 /// Pins of idle flows, copied to where they now belong.
 struct pin_batch
 {
@@ -153,7 +162,8 @@
     document_listing,
     pin_batch,
     upstream_report_listing,
-    registry_change>;
+    registry_change,
+    reading_substitution>;
 
 struct control_message
 {
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -438,6 +438,15 @@
     this->versions.receive(now, sender, message, out);
 }
 
+void reducer::receive(
+    time_point now,
+    vm_id sender,
+    reading_substitution const& message,
+    effect_list& out)
+{
+    this->versions.receive(now, sender, message, out);
+}
+
 void reducer::receive(
     time_point now, vm_id, pin_batch const& message, effect_list&)
 {
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -106,6 +106,11 @@
         vm_id sender,
         registry_change const& message,
         effect_list& out);
+    void receive(
+        time_point now,
+        vm_id sender,
+        reading_substitution const& message,
+        effect_list& out);
     void receive(
         time_point now,
         vm_id sender,
--- a/libraries/versions/version_store.cpp
+++ b/libraries/versions/version_store.cpp
@@ -95,15 +95,25 @@
     if (is_complete)
         this->progress_deadline = now + this->settings.join_timeout;
     // Without a peer in its failure domain a VM is always elected.
-    this->is_reading = this->is_elected() || now >= this->progress_deadline;
+    this->is_reading = this->is_elected() || now >= this->progress_deadline ||
+                       this->substitutes.is_substitute(now);
 }
 
-void version_store::report_reading(effect_list& effects)
+void version_store::search_substitute(time_point now, effect_list& effects)
+{
+    if (this->watch.is_failing() && this->is_elected())
+        this->substitutes.search(
+            now, this->self, this->peers, this->random, effects);
+}
+
+void version_store::report_reading(time_point now, effect_list& effects)
 {
     if (std::exchange(this->was_reading, this->is_reading) == this->is_reading)
         return;
+    bool const is_substitute = this->substitutes.is_substitute(now);
     auto const why = !this->is_reading    ? "others_elected"
                      : this->is_elected() ? "elected"
+                     : is_substitute      ? "reader_turned_away"
                                           : "documents_missing";
     effects.push_back(report{
         this->is_reading ? report_kind::reading_started
@@ -130,8 +140,9 @@
     this->compile();
     this->announce(effects);
     this->update_access(now);
-    this->report_reading(effects);
+    this->report_reading(now, effects);
     this->watch.tick(now, this->get_access(), this->random, effects);
+    this->search_substitute(now, effects);
     this->ask_peers_on_joining(now, effects);
     this->start_fetches(now, effects);
 }
@@ -162,6 +173,8 @@
 {
     this->begin(now);
     this->watch.listed(now, event.index, this->random, effects);
+    this->substitutes.end_search();
+    this->substitutes.confirm(now, effects);
     this->report_staleness(event, effects);
     for (auto const& stamp : event.documents)
     {
@@ -208,6 +221,27 @@
 {
     this->begin(now);
     this->watch.failed(now, this->random, effects);
+    this->substitutes.give_up();
+    this->search_substitute(now, effects);
+}
+
+void version_store::receive(
+    time_point now,
+    vm_id sender,
+    reading_substitution const& message,
+    effect_list& effects)
+{
+    this->begin(now);
+    if (message.kind == listing_kind::answer)
+        return this->substitutes.confirmed(now, sender);
+    if (!this->is_from_own_domain(sender))
+        return;
+    bool const is_served = this->is_reading && this->watch.is_served();
+    this->substitutes.asked(now, sender);
+    this->update_access(now);
+    if (is_served)
+        this->substitutes.confirm(now, effects);
+    this->watch.tick(now, this->get_access(), this->random, effects);
 }
 
 void version_store::receive(
--- a/libraries/versions/version_store.hpp
+++ b/libraries/versions/version_store.hpp
@@ -9,6 +9,7 @@
 #include <versions/document_table.hpp>
 #include <versions/fetch_queue.hpp>
 #include <versions/platform_watch.hpp>
+#include <versions/reading_substitutes.hpp>
 #include <versions/relay_memory.hpp>
 
 #include <absl/container/flat_hash_map.h>
@@ -38,8 +39,9 @@
 /// changes, all documents are checked against it again; what it takes from an
 /// organisation is out of force at once, the rest stays.
 ///
-/// A VM that is no reader still reads the platform while it has no peer, or
-/// while it has lacked a document for `join_timeout` without getting any.
+/// A VM that is no reader still reads the platform while it has no peer,
+/// while it has lacked a document for `join_timeout` without getting any, or
+/// while a reader that the platform turns away asks it to.
 /// Thread safety of all methods: none; one thread, the reducer's.
 class version_store
 {
@@ -85,6 +87,14 @@
         registry_change const& message,
         effect_list& effects);
 
+    /// A reader asks this VM to read for it, or a substitute answers. No
+    /// precondition.
+    void receive(
+        time_point now,
+        vm_id sender,
+        reading_substitution const& message,
+        effect_list& effects);
+
     /// If the peer's digest differs from ours for a while, asks for its
     /// listing, at most once in a while for each peer. No precondition.
     void compare_digest(
@@ -177,7 +187,8 @@
     void announce(effect_list& effects);
     [[nodiscard]] bool is_spreading(time_point now);
     void update_access(time_point now);
-    void report_reading(effect_list& effects);
+    void search_substitute(time_point now, effect_list& effects);
+    void report_reading(time_point now, effect_list& effects);
     [[nodiscard]] bool is_elected() const;
     [[nodiscard]] platform_access get_access() const;
 
@@ -188,6 +199,7 @@
     document_table documents;
     fetch_queue fetches;
     platform_watch watch;
+    reading_substitutes substitutes;
     std::shared_ptr<directory const> in_force;
     std::uint64_t in_force_generation = 0;
     /// Names of texts that arrived and were not announced yet.
--- a/libraries/wire/control_codec.cpp
+++ b/libraries/wire/control_codec.cpp
@@ -144,6 +144,12 @@
             kj::arrayPtr(body.text.data(), body.text.size()).asBytes());
     }
 
+    void operator()(reading_substitution const& body)
+    {
+        auto part = this->to.initReadingSubstitution();
+        part.setKind(static_cast<peer_schema::ListingKind>(body.kind));
+    }
+
 private:
     template <typename Entries>
     static unsigned size_of(Entries const& entries)
@@ -299,6 +305,9 @@
             read_list<upstream_report>(from.getUpstreamReports())};
     case kind::REGISTRY_CHANGE:
         return read(from.getRegistryChange());
+    case kind::READING_SUBSTITUTION:
+        return reading_substitution{
+            read(from.getReadingSubstitution().getKind())};
     }
     throw malformed_datagram(malformed_reason::unknown_kind);
 }
--- a/libraries/wire/peer.capnp
+++ b/libraries/wire/peer.capnp
@@ -109,6 +109,10 @@
   text @3 :Data;
 }
 
+struct ReadingSubstitution {
+  kind @0 :ListingKind;
+}
+
 struct ControlMessage {
   sender @0 :UInt32;
   union {
@@ -122,6 +126,7 @@
     pinBatch @6 :List(PinClaim);
     upstreamReports @7 :List(UpstreamReport);
     registryChange @8 :RegistryChange;
+    readingSubstitution @9 :ReadingSubstitution;
   }
 }
 
--- a/tests/versions/fleet.cpp
+++ b/tests/versions/fleet.cpp
@@ -166,6 +166,8 @@
         return;
     if (auto const* change = std::get_if<registry_change>(&message->body))
         return this->pass_on(from, to, *change);
+    if (auto const* asked = std::get_if<reading_substitution>(&message->body))
+        return this->post(to, own.self.id, *asked);
     this->post(to, own.self.id, std::get<document_listing>(message->body));
 }
 
--- a/tests/versions/test_spread.cpp
+++ b/tests/versions/test_spread.cpp
@@ -220,3 +220,48 @@
     vms.run(1 * second);
     cr_expect(vms.all_have(association, 2));
 }
+
+Test(spread, others_read_for_readers_that_the_platform_turns_away)
+{
+    // Symptom: a change is in force on no VM while the platform serves some of
+    // them. Sequence: the platform turns away both readers of each failure
+    // domain and most of the others, for ten seconds; the operator publishes.
+    // Cause: an election that does not know who is turned away, and readers
+    // that tell nobody.
+    fleet vms(40, 2, 2);
+    vms.run(3 * second);
+    constexpr std::size_t served = 36;
+    for (std::size_t vm = 0; vm < vms.size(); ++vm)
+    {
+        if (vms.at(vm).is_reader() || vms.turned_away.size() < served)
+            vms.turned_away.insert(vm);
+    }
+    cr_assert_lt(vms.turned_away.size(), vms.size());
+    vms.run(3 * second);
+    for (std::uint64_t version = 2; version <= 5; ++version)
+    {
+        vms.platform.publish(association, association_text);
+        vms.run(2 * second);
+        cr_expect(vms.all_have(association, version), "version %lu", version);
+    }
+    // Once they are served again, after their longest back-off, the elected
+    // ones suffice.
+    vms.turned_away.clear();
+    vms.run(40 * second);
+    cr_expect_eq(count_readers(vms), 4);
+}
+
+Test(spread, a_platform_that_is_down_is_not_asked_by_all)
+{
+    // Symptom: a platform that comes back is met by calls of every VM.
+    // Sequence: it turns everybody away for twenty seconds. Cause: readers that
+    // ask more and more others to read for them.
+    fleet vms(40, 2, 2);
+    vms.run(3 * second);
+    vms.platform.state = platform_state::down;
+    auto const before = vms.platform.watches;
+    vms.run(20 * second);
+    // Two readers of each domain with their back-off, and each asks another
+    // VM at most once in the search's period.
+    cr_expect_leq(vms.platform.watches - before, 20 * 4 * 3);
+}
