Reducer: Leave in turn where a failure domain can spare no more VMs

Cause: VMs that are told to stop 1.2 s after each other leave at the same time. Ruled out: longer leaves, which overlap more. Change: a VM that is told to stop stays ready while its leave would take its domain below half, for handover.leave_turn at most; VMs that are told at once begin a quarter of a second apart.

--- a/emulator/emulated_fleet.cpp
+++ b/emulator/emulated_fleet.cpp
@@ -26,6 +26,9 @@
 /// All VMs of a deployment start within this.
 constexpr duration start_spread = 300ms;
 
+/// Whether a VM that leaves has ended is looked for this often.
+constexpr duration look_period = 50ms;
+
 /// IP and UDP.
 constexpr std::size_t datagram_overhead = 28;
 
@@ -142,6 +145,9 @@
     // As deploy/ sets them.
     settings.versions.join_timeout = 1s;
     settings.versions.watch_wait = 2s;
+    settings.handover.leave_turn = 4'100ms;
+    settings.handover.leave_minimum = 1'300ms;
+    settings.handover.leave_timeout = 1'400ms;
     for (std::uint32_t const each : this->seeds)
         settings.seeds.push_back(this->where.vm(each));
     settings.random_seed = this->seed + started.life;
@@ -181,6 +187,29 @@
         this->apply(vm, leave_requested{});
 }
 
+void emulated_fleet::leave_and_return(
+    std::vector<std::uint32_t> const& vms, duration time_to_start)
+{
+    this->leave(vms);
+    for (std::uint32_t const vm : vms)
+        this->start_when_ended(vm, this->nodes[vm]->life, time_to_start);
+}
+
+void emulated_fleet::start_when_ended(
+    std::uint32_t vm, std::uint32_t life, duration time_to_start)
+{
+    bool const has_ended = this->nodes[vm]->life != life;
+    this->time.add(
+        this->time.now() + (has_ended ? time_to_start : look_period),
+        [=, this]
+        {
+            if (has_ended)
+                this->start({vm});
+            else
+                this->start_when_ended(vm, life, time_to_start);
+        });
+}
+
 void emulated_fleet::freeze(
     std::vector<std::uint32_t> const& vms, duration length)
 {
--- a/emulator/emulated_fleet.hpp
+++ b/emulator/emulated_fleet.hpp
@@ -54,6 +54,10 @@
     /// Has VMs leave as planned; they end when they are done. No precondition.
     void leave(std::vector<std::uint32_t> const& vms);
 
+    /// As above; each starts again so long after it ended. No precondition.
+    void leave_and_return(
+        std::vector<std::uint32_t> const& vms, duration time_to_start);
+
     /// Stops VMs for a while, as a signal would: what reaches them meanwhile
     /// waits. No precondition.
     void freeze(std::vector<std::uint32_t> const& vms, duration length);
@@ -130,6 +134,8 @@
     struct node;
 
     void start_one(std::uint32_t vm);
+    void start_when_ended(
+        std::uint32_t vm, std::uint32_t life, duration time_to_start);
     void tick(std::uint32_t vm, std::uint32_t life);
     void apply(std::uint32_t vm, event::body_type body);
     void await_deadline(std::uint32_t vm);
--- a/libraries/event/effect.hpp
+++ b/libraries/event/effect.hpp
@@ -202,6 +202,8 @@
     domain_reachable,
     upstream_unreachable,
     upstream_reachable,
+    /// This VM was told to stop, and lets others of its domain go first.
+    leave_awaits_turn,
     leave_started,
     leave_finished,
     pin_conflict,
--- a/libraries/observability/effect_text.hpp
+++ b/libraries/observability/effect_text.hpp
@@ -142,6 +142,8 @@
         return "upstream_unreachable";
     case report_kind::upstream_reachable:
         return "upstream_reachable";
+    case report_kind::leave_awaits_turn:
+        return "leave_awaits_turn";
     case report_kind::leave_started:
         return "leave_started";
     case report_kind::leave_finished:
--- /dev/null
+++ b/libraries/reducer/leave_turn.cpp
@@ -0,0 +1,124 @@
+#include <reducer/leave_turn.hpp>
+
+#include <algorithm>
+
+namespace cairnhead
+{
+
+namespace
+{
+
+/// A fabric that asks twice a second uses a VM again at the latest that long
+/// after it answered; the rest is what the VM takes to know the registry.
+constexpr duration time_until_used = 700ms;
+
+/// A VM that died may be started again; fabrics count it as one of its domain
+/// meanwhile. After this it was taken away.
+constexpr duration time_until_given_up = 10s;
+
+/// VMs that are told to stop in the same instant cannot know of each other.
+/// They begin this far apart, in the order of their ids: enough for an
+/// announcement to arrive and a tick to pass.
+constexpr duration distance = 250ms;
+
+/// Of larger domains the fabric can spare several at once.
+constexpr std::size_t largest_place = 3;
+
+} // namespace
+
+leave_turn::leave_turn(duration longest_wait) : longest(longest_wait)
+{
+}
+
+void leave_turn::observe(
+    time_point now, vm_identity const& self, std::span<member const> members)
+{
+    this->place = 0;
+    for (member const& known : members)
+    {
+        if (known.domain != self.domain || known.id == self.id)
+            continue;
+        this->note(now, known);
+        if (known.id < self.id)
+            ++this->place;
+    }
+    this->is_first_look = false;
+    absl::erase_if(
+        this->neighbours,
+        [now](auto const& entry)
+        {
+            return is_given_up(entry.second, now);
+        });
+}
+
+void leave_turn::note(time_point now, member const& known)
+{
+    bool const is_dead = known.status == member_status::dead;
+    // It was given up, or died before this VM joined.
+    if (is_dead && !this->neighbours.contains(known.id))
+        return;
+    auto const [entry, is_new] = this->neighbours.try_emplace(known.id);
+    neighbour& each = entry->second;
+    bool const was_away = is_new || each.status == member_status::leaving ||
+                          each.status == member_status::dead;
+    bool const is_back = known.status == member_status::alive &&
+                         (was_away || each.life < known.life);
+    // Whoever is there when this VM joins has been there before.
+    if (is_back && !this->is_first_look)
+        each.used_from = now + time_until_used;
+    if (is_dead && each.status != member_status::dead)
+        each.expected_until = now + time_until_given_up;
+    each.life = known.life;
+    each.status = known.status;
+}
+
+bool leave_turn::is_used(neighbour const& each, time_point now)
+{
+    return each.status == member_status::alive && now >= each.used_from;
+}
+
+bool leave_turn::is_given_up(neighbour const& each, time_point now)
+{
+    return each.status == member_status::dead && now >= each.expected_until;
+}
+
+leave_turn::domain_use leave_turn::use(time_point now) const
+{
+    domain_use counted;
+    for (auto const& [id, each] : this->neighbours)
+    {
+        if (is_given_up(each, now))
+            continue;
+        ++counted.all;
+        if (is_used(each, now))
+            ++counted.used;
+    }
+    return counted;
+}
+
+void leave_turn::request(time_point now)
+{
+    this->latest_at = now + this->longest;
+    auto const behind = static_cast<int>(std::min(this->place, largest_place));
+    this->earliest_at = std::min(this->latest_at, now + distance * behind);
+}
+
+bool leave_turn::is_waiting() const
+{
+    return this->earliest_at.has_value();
+}
+
+bool leave_turn::take(time_point now)
+{
+    if (!this->earliest_at || now < *this->earliest_at)
+        return false;
+    auto const [used, all] = this->use(now);
+    // With this VM there are `all + 1`.
+    bool const is_enough_left = used * 2 >= all + 1 || all == 0;
+    if (!is_enough_left && now < this->latest_at)
+        return false;
+    this->earliest_at.reset();
+    return true;
+}
+
+} // namespace cairnhead
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -48,6 +48,7 @@
           this->settings.self,
           seed_for(this->settings, "placement")),
       admitter(this->settings.admission, this->settings.pins.maximum_pins),
+      turn(this->settings.handover.leave_turn),
       handing_over(this->settings.handover, this->settings.pins),
       tagged(
           this->settings.tagging,
@@ -263,6 +264,7 @@
     if (!this->has_joined)
         return;
     this->members.tick(now, this->versions.digest(), out);
+    this->leave_in_turn(now, out);
     this->report_domains(now, out);
     this->placer.tick(now, this->domain_vms, this->peer_vms, out);
     this->predictions.forget_old(now);
@@ -332,19 +334,42 @@
 
 void reducer::handle(time_point now, leave_requested const&, effect_list& out)
 {
-    if (this->handing_over.is_leaving())
+    if (this->handing_over.is_leaving() || this->turn.is_waiting())
         return;
-    out.emplace_back(report{report_kind::leave_started, "", ""});
-    this->handing_over.start_leaving(now);
     if (!this->has_joined)
     {
         // Nobody knows this VM yet, so there is nothing to hand over.
+        this->begin_leave(now, out);
         out.emplace_back(leave_complete{});
         return;
     }
+    this->turn.request(now);
+    this->leave_in_turn(now, out);
+    if (!this->turn.is_waiting())
+        return;
+    auto const [used, all] = this->turn.use(now);
+    out.emplace_back(report{
+        report_kind::leave_awaits_turn,
+        {},
+        {},
+        {{"others_used", std::to_string(used)},
+         {"others", std::to_string(all)}}});
+}
+
+void reducer::leave_in_turn(time_point now, effect_list& out)
+{
+    if (!this->turn.take(now))
+        return;
+    this->begin_leave(now, out);
     this->members.announce_leave(now, out);
 }
 
+void reducer::begin_leave(time_point now, effect_list& out)
+{
+    out.emplace_back(report{report_kind::leave_started, "", ""});
+    this->handing_over.start_leaving(now);
+}
+
 void reducer::handle(
     time_point now, platform_listed const& body, effect_list& out)
 {
@@ -528,6 +553,7 @@
     if (this->applied_membership == this->members.generation())
         return;
     this->applied_membership = this->members.generation();
+    this->turn.observe(now, this->settings.self, this->members.members());
     std::vector<document_peer> peers;
     this->domain_vms.clear();
     this->peer_vms.clear();
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -10,6 +10,7 @@
 #include <placement/placement.hpp>
 #include <reducer/flow_router.hpp>
 #include <reducer/handover.hpp>
+#include <reducer/leave_turn.hpp>
 #include <reducer/reducer_view.hpp>
 #include <tagging/tag_router.hpp>
 #include <versions/version_store.hpp>
@@ -137,6 +138,8 @@
     void apply_document_changes(time_point now);
     void update_permission(time_point now, effect_list& out);
     void ask_domains(effect_list& out);
+    void leave_in_turn(time_point now, effect_list& out);
+    void begin_leave(time_point now, effect_list& out);
     void report_domains(time_point now, effect_list& out);
     [[nodiscard]] std::vector<ownership_candidate> owners() const;
 
@@ -148,6 +151,7 @@
     placement placer;
     admission admitter;
     prediction_gate predictions;
+    leave_turn turn;
     handover handing_over;
     tag_router tagged;
     std::shared_ptr<directory const> declarations;
--- a/libraries/settings/section_fields.hpp
+++ b/libraries/settings/section_fields.hpp
@@ -163,8 +163,11 @@
     using durations = duration_field<section>;
     using numbers = number_field<section>;
 
-    static constexpr std::array<section_field<section>, 3> fields = {{
+    static constexpr std::array<section_field<section>, 4> fields = {{
         numbers{"bytes_per_second", &section::bytes_per_second, 1, any_number},
+        durations{
+            "leave_turn", &section::leave_turn, duration::zero(),
+            longest_timeout},
         durations{
             "leave_timeout", &section::leave_timeout, shortest_duration,
             longest_lifetime},
--- a/libraries/story/flow_story.cpp
+++ b/libraries/story/flow_story.cpp
@@ -24,10 +24,11 @@
 constexpr auto aftermath = 2s;
 
 /// Events about the VM itself, or all of its flows.
-constexpr std::array<std::string_view, 16> vm_events{
+constexpr std::array<std::string_view, 17> vm_events{
     "started",
     "ended",
     "ended_at_once",
+    "leave_awaits_turn",
     "leave_started",
     "leave_finished",
     "ready",
--- a/soak/entry_vm.cpp
+++ b/soak/entry_vm.cpp
@@ -142,7 +142,8 @@
          << "\"\ncontrol: {port: 6081}\nmetrics: {port: 0}\n"
          << "versions: {join_timeout: 1s, readers_per_domain: 2, "
             "watch_wait: 2s}\n"
-         << "handover: {leave_minimum: 2500ms, leave_timeout: 4s}\n"
+         << "handover: {leave_turn: 4100ms, leave_minimum: 1300ms, "
+            "leave_timeout: 1400ms}\n"
          // The one that changes.
          << "logging: {level: info, lines_per_second: "
          << first_lines_per_second + this->settings_number << "}\n";
--- a/tests/traffic/test_traffic.cpp
+++ b/tests/traffic/test_traffic.cpp
@@ -249,6 +249,39 @@
     }
 }
 
+// Symptom: callers wait for seconds during a rolling restart.
+// Sequence: the three VMs of a failure domain are told to stop 1.2 s after each
+// other, sooner than the one before is back. The fabric finds fewer than half
+// of them ready and uses all, also those that end. Cause: VMs that leave as
+// soon as they are told to.
+Test(traffic, stops_that_overlap_cost_nothing)
+{
+    constexpr duration gap = 1'200ms;
+    constexpr duration time_to_start = 700ms;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        world table(seed);
+        table.traffic.meter().reset();
+        for (std::uint32_t domain = 0; domain < 4; ++domain)
+        {
+            for (std::uint32_t const vm : table.fleet.pick_domain(domain, 3))
+            {
+                table.fleet.leave_and_return({vm}, time_to_start);
+                table.run_for(gap);
+            }
+            table.run_for(10s);
+            cr_expect_eq(table.fleet.count_running(), 12);
+        }
+        table.expect_kept(seed);
+        cr_expect_eq(table.ended(request_end::timed_out), 0);
+        // A packet that went to a VM that had ended is repeated after 200 ms.
+        auto const slowest = table.traffic.meter().answered_within(1.0);
+        cr_expect_lt(
+            slowest, 200ms, "seed %lu: %ld ms",
+            static_cast<unsigned long>(seed), static_cast<long>(slowest / 1ms));
+    }
+}
+
 // Symptom: an upstream that leaves gets new flows, or one that takes over its
 // address gets its packets.
 // Sequence: upstreams drain, end with their last flow, and others start, half
