Runtime: Let callers' packets wait while a VM learns the registry

Cause: after a start of all VMs, packets that arrive in the 150 ms until a VM knows the registry were dropped as unknown, and a caller's next copy came 200, 400 or 800 ms later. Ruled out: holding packets in the reducer, which would need copies of them; waiting without a bound, as a socket that is full of old packets loses the new ones while the store is down. Change: the fabric's socket is read once the registry is there, or 600 ms after the start. A start counts as a pause: openings that waited for 200 ms are dropped, since their copies may have been placed elsewhere. The test of openings that waited through a pause lets its VM know the registry for a second first: its cases are about pauses, not starts.

--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -184,6 +184,11 @@
     return this->tagged.next_due();
 }
 
+bool reducer::knows_destinations() const
+{
+    return !this->is_tagged() || this->tagged.is_informed();
+}
+
 bool reducer::is_ready() const
 {
     if (this->handing_over.is_leaving())
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -61,6 +61,10 @@
     /// it is not about to leave. Precondition: started.
     [[nodiscard]] bool is_ready() const;
 
+    /// Whether callers' packets can be decided about: without the registry,
+    /// those with tags can only be dropped. No precondition.
+    [[nodiscard]] bool knows_destinations() const;
+
     /// The pins, for measurements and views.
     [[nodiscard]] pin_table const& pins() const;
 
--- a/libraries/runtime/event_loop.cpp
+++ b/libraries/runtime/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <runtime/system_failure.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <span>
@@ -15,6 +16,7 @@
 {
 
 constexpr int no_timeout = -1;
+constexpr std::uint32_t no_interest = 0;
 constexpr std::size_t events_per_wait = 16;
 
 } // namespace
@@ -26,14 +28,38 @@
 }
 
 void event_loop::watch(int descriptor, handler on_readable)
+{
+    this->add(descriptor, EPOLLIN, std::move(on_readable));
+}
+
+void event_loop::watch_paused(int descriptor, handler on_readable)
+{
+    this->add(descriptor, no_interest, std::move(on_readable));
+}
+
+void event_loop::add(
+    int descriptor, std::uint32_t interests, handler on_readable)
 {
     epoll_event interest{};
-    interest.events = EPOLLIN;
+    interest.events = interests;
     interest.data.u64 = this->sources.size();
     int const added =
         ::epoll_ctl(this->epoll.get(), EPOLL_CTL_ADD, descriptor, &interest);
     require_success(system_call::watch_descriptor, added);
-    this->sources.push_back({std::move(on_readable)});
+    this->sources.push_back({descriptor, std::move(on_readable)});
+}
+
+void event_loop::resume(int descriptor)
+{
+    auto const found =
+        std::ranges::find(this->sources, descriptor, &watched::descriptor);
+    epoll_event interest{};
+    interest.events = EPOLLIN;
+    interest.data.u64 =
+        static_cast<std::uint64_t>(found - this->sources.begin());
+    int const changed =
+        ::epoll_ctl(this->epoll.get(), EPOLL_CTL_MOD, descriptor, &interest);
+    require_success(system_call::watch_descriptor, changed);
 }
 
 void event_loop::run()
--- a/libraries/runtime/event_loop.hpp
+++ b/libraries/runtime/event_loop.hpp
@@ -2,6 +2,7 @@
 
 #include <runtime/file_descriptor.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <vector>
 
@@ -23,6 +24,13 @@
     /// Precondition: the descriptor stays open until the loop ends.
     void watch(int descriptor, handler on_readable);
 
+    /// As `watch`, but not before `resume`: what arrives meanwhile stays in the
+    /// descriptor. Precondition: as of `watch`.
+    void watch_paused(int descriptor, handler on_readable);
+
+    /// Precondition: the descriptor was given to `watch_paused`.
+    void resume(int descriptor);
+
     /// Runs until `stop`. Precondition: not running.
     void run();
 
@@ -32,10 +40,12 @@
 private:
     struct watched
     {
+        int descriptor = -1;
         handler on_readable;
         bool is_ready = false;
     };
 
+    void add(int descriptor, std::uint32_t interests, handler on_readable);
     void wait();
     void call_handlers();
 
--- a/libraries/runtime/packet_thread.cpp
+++ b/libraries/runtime/packet_thread.cpp
@@ -20,6 +20,11 @@
 /// A deadline that is met later than this was missed while packets came in.
 constexpr auto late_deadline = std::chrono::milliseconds(2);
 
+/// A VM that knows no registry by then takes callers' packets all the same, and
+/// drops them. A start takes 150 ms on a twentieth of a core; the callers'
+/// copies come after 200 and 600 ms, and a socket has room for a second.
+constexpr auto longest_start = std::chrono::milliseconds(600);
+
 /// Bounds the work before a late deadline: a flood must not put it off.
 constexpr int drained_batches = 16;
 
@@ -62,6 +67,7 @@
 void packet_thread::start()
 {
     this->driver.refresh_time();
+    this->heeds_callers_at = this->driver.now() + longest_start;
     this->driver.apply(started{wall_clock_milliseconds()});
     this->carry_out();
     this->update_gauges();
@@ -101,7 +107,7 @@
         {
             static_cast<void>(this->intake.take_from_peers());
         });
-    this->loop.watch(
+    this->loop.watch_paused(
         this->sockets.fabric.descriptor(),
         [this]
         {
@@ -273,9 +279,24 @@
     static_cast<void>(this->driver.carry_out_effects());
     this->sender.flush();
     this->shared.is_ready = this->driver.state().is_ready();
+    this->heed_callers_when_informed();
     this->arm_deadline();
 }
 
+void packet_thread::heed_callers_when_informed()
+{
+    // Fabrics send callers to a VM that has just started before it knows the
+    // registry, most of all where all VMs start at once. Dropped packets come
+    // again after 200 ms at the earliest; those that wait in the socket are
+    // late by what is left of the start.
+    bool const is_time = this->driver.state().knows_destinations() ||
+                         this->driver.now() >= this->heeds_callers_at;
+    if (this->heeds_callers || !is_time)
+        return;
+    this->heeds_callers = true;
+    this->loop.resume(this->sockets.fabric.descriptor());
+}
+
 void packet_thread::update_gauges()
 {
     this->next_gauges_at = this->driver.now() + gauge_interval;
--- a/libraries/runtime/packet_thread.hpp
+++ b/libraries/runtime/packet_thread.hpp
@@ -73,6 +73,7 @@
     template <typename Arrived>
     void take(Arrived& arrived);
     void carry_out();
+    void heed_callers_when_informed();
     void take(view_request& asked);
     void take(platform_called& called);
     void update_gauges();
@@ -96,6 +97,10 @@
     traffic_intake intake;
     time_point next_gauges_at;
     time_point next_flush_at;
+    /// Callers' packets wait in their socket until then, or until the VM knows
+    /// where they belong.
+    time_point heeds_callers_at;
+    bool heeds_callers = false;
     unsigned signal_count = 0;
 };
 
--- a/libraries/tagging/pause_watch.hpp
+++ b/libraries/tagging/pause_watch.hpp
@@ -28,6 +28,13 @@
         this->last_event_at = now;
     }
 
+    /// What came before was not looked at, as after a pause. No precondition.
+    void note_standstill(time_point now)
+    {
+        this->ended_at = now;
+        this->last_event_at = now;
+    }
+
     /// Whether a copy of an opening that waited so long may have reached
     /// another VM. No precondition.
     [[nodiscard]] bool may_be_elsewhere(time_point now, duration waited) const
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -60,6 +60,7 @@
         new_routes != nullptr && new_routes != this->routes;
     bool const are_upstreams_new =
         new_upstreams != nullptr && new_upstreams != this->listed;
+    bool const was_informed = this->is_informed();
     if (are_routes_new)
     {
         this->routes = std::move(new_routes);
@@ -79,6 +80,10 @@
             now, before == nullptr ? upstream_listing() : *before,
             *this->listed);
     }
+    // Callers' packets wait until there is a registry. Copies of those that
+    // waited for long may have been placed by another VM.
+    if (this->is_informed() && !was_informed)
+        this->pauses.note_standstill(now);
 }
 
 void tag_router::route(
--- a/tests/tagging/test_tagging.cpp
+++ b/tests/tagging/test_tagging.cpp
@@ -179,7 +179,9 @@
     for (auto const& [name, pause, waited, should_be_dropped] : table)
     {
         bench vm({make_upstream(1), make_upstream(2)});
-        vm.wait(100ms);
+        // It has known the registry for longer than anything waits here.
+        for (int ticks = 0; ticks < 10; ++ticks)
+            vm.wait(100ms);
         vm.now += pause;
         auto const decided = vm.open_late(7, waited);
         cr_expect_eq(
@@ -191,6 +193,29 @@
     }
 }
 
+Test(tagging, openings_that_waited_for_the_registry_are_placed_unless_copied)
+{
+    // Symptom: after a start of all VMs, callers wait for their next copy, or
+    // flows are reset by an upstream that does not hold them. Sequence:
+    // openings arrive while a VM that has just started learns the registry.
+    // Cause: what came before was dropped; or placed, though its copy reached
+    // another VM.
+    struct table_entry
+    {
+        duration waited;
+        bool is_dropped;
+    };
+    table_entry const table[] = {{20ms, false}, {190ms, false}, {200ms, true}};
+    for (auto const& [waited, should_be_dropped] : table)
+    {
+        // Its registry has just come into force.
+        bench vm({make_upstream(1), make_upstream(2)});
+        auto const decided = vm.open_late(7, waited);
+        cr_expect_eq(
+            is_dropped(decided, drop_reason::view_expired), should_be_dropped);
+    }
+}
+
 Test(tagging, nothing_from_before_a_pause_is_offered_again)
 {
     // Symptom: as above. Sequence: an opening was placed right before a pause,
