Soak: Part VMs from their peers

Ruled out: rewriting addresses in the kernel, which needs privileges; an own daemon for tests. Change: peers.listen, the address at which a VM takes its peers' datagrams and fetches where it differs from the one by which they know it. The soak puts a relay there: peers_cut, peers_one_way, peers_harmed (lost, doubled, late). Flows must not suffer from any of it; only what a VM is bound to know is excused meanwhile.

--- a/libraries/runtime/packet_thread.cpp
+++ b/libraries/runtime/packet_thread.cpp
@@ -33,7 +33,7 @@
     ipv4_address const own(settings.reducer.self.id.value());
     return {
         udp_socket({own, settings.fabric.listen_port}),
-        udp_socket({own, settings.peers.port})};
+        udp_socket({settings.peers.listen_address, settings.peers.port})};
 }
 
 } // namespace
--- a/libraries/runtime/request_server.cpp
+++ b/libraries/runtime/request_server.cpp
@@ -12,7 +12,7 @@
     daemon_settings const& settings = shared.settings;
     ipv4_address const own(settings.reducer.self.id.value());
     this->server->serve_documents(
-        own, settings.peers.document_port,
+        settings.peers.listen_address, settings.peers.document_port,
         make_document_source(shared.arrivals), shared.keys);
     this->server->serve_control(
         own, settings.control_port,
--- a/libraries/settings/settings.cpp
+++ b/libraries/settings/settings.cpp
@@ -290,10 +290,16 @@
         yaml_value const* const value = file.require("peers");
         if (value == nullptr)
             return;
-        constexpr std::array<std::string_view, 4> keys = {
-            "port", "document_port", "seeds", "keys"};
+        constexpr std::array<std::string_view, 5> keys = {
+            "port", "document_port", "listen", "seeds", "keys"};
         settings_mapping const mapping(*value, "peers", keys, this->errors);
         peer_settings& peers = this->result.peers;
+        peers.listen_address =
+            ipv4_address(this->result.reducer.self.id.value());
+        if (yaml_value const* const listen = mapping.find("listen"))
+            peers.listen_address =
+                read_address(*listen, "peers.listen", this->errors)
+                    .value_or(peers.listen_address);
         read_port(
             mapping, "port", port_rule::required, peers.port, this->errors);
         read_port(
--- a/libraries/settings/settings.hpp
+++ b/libraries/settings/settings.hpp
@@ -68,6 +68,9 @@
 
 struct peer_settings
 {
+    /// Where this VM listens to its peers, who know it by its own address. Not
+    /// the same where addresses are translated on the way.
+    ipv4_address listen_address;
     /// UDP port for frames and control messages.
     std::uint16_t port = 6081;
     /// TCP port from which peers fetch documents.
--- a/soak/disturbances.hpp
+++ b/soak/disturbances.hpp
@@ -14,7 +14,7 @@
 class disturbances
 {
 public:
-    explicit disturbances(std::size_t vms) : vm_until(vms)
+    explicit disturbances(std::size_t vms) : vm_until(vms), peers_until(vms)
     {
     }
 
@@ -24,6 +24,14 @@
         this->vm_until[vm] = std::max(this->vm_until[vm], until);
     }
 
+    /// The VM's peers are out of its reach until then. It may know what was
+    /// published late; flows are none the worse for it. Precondition: the VM
+    /// exists.
+    void note_peers(std::size_t vm, time_point until)
+    {
+        this->peers_until[vm] = std::max(this->peers_until[vm], until);
+    }
+
     /// The store, or the way of all packets, is disturbed until then. No
     /// precondition.
     void note_store(time_point until)
@@ -44,6 +52,14 @@
                is_calm(this->packets_until, since);
     }
 
+    /// Whether the VM is bound to know what was published: it is calm, and its
+    /// peers and the store were in its reach. Precondition: the VM exists.
+    [[nodiscard]] bool is_vm_informed(std::size_t vm, time_point since) const
+    {
+        return this->is_vm_calm(vm, since) && this->is_store_calm(since) &&
+               is_calm(this->peers_until[vm], since);
+    }
+
     [[nodiscard]] bool is_store_calm(time_point since) const
     {
         return is_calm(this->store_until, since);
@@ -71,6 +87,7 @@
     }
 
     std::vector<time_point> vm_until;
+    std::vector<time_point> peers_until;
     time_point store_until;
     time_point packets_until;
 };
--- a/soak/entry_vm.cpp
+++ b/soak/entry_vm.cpp
@@ -133,7 +133,9 @@
          << "\", path: /-/ready}\n"
          << "platform: {protocol: metadata_store, url: \"http://"
          << this->plan.store_address << ":" << this->plan.store_port
-         << "\"}\npeers:\n  port: 6081\n  document_port: 6083\n  seeds: [";
+         << "\"}\npeers:\n  port: " << peer_port
+         << "\n  document_port: " << document_port
+         << "\n  listen: " << this->plan.peer_address << "\n  seeds: [";
     for (std::string const& seed : this->plan.seeds)
         text << (&seed == this->plan.seeds.data() ? "\"" : ", \"") << seed
              << ":6081\"";
--- a/soak/entry_vm.hpp
+++ b/soak/entry_vm.hpp
@@ -18,7 +18,10 @@
 struct entry_vm_plan
 {
     std::string program;
+    /// By which everybody knows it.
     std::string address;
+    /// Where it listens to its peers, behind what stands between.
+    std::string peer_address;
     std::string failure_domain;
     std::string store_address;
     std::uint16_t store_port = 0;
@@ -70,6 +73,8 @@
     [[nodiscard]] process_usage usage() const;
 
     static constexpr std::uint16_t fabric_port = 6080;
+    static constexpr std::uint16_t peer_port = 6081;
+    static constexpr std::uint16_t document_port = 6083;
 
 private:
     void write_settings() const;
--- a/soak/soak_callers.cpp
+++ b/soak/soak_callers.cpp
@@ -315,8 +315,7 @@
 void soak_callers::check_refusal(caller const& who, std::size_t vm)
 {
     time_point const now = this->with.time.now();
-    bool const is_in_vain = this->with.disturbed.is_vm_calm(vm, now) &&
-                            this->with.disturbed.is_store_calm(now) &&
+    bool const is_in_vain = this->with.disturbed.is_vm_informed(vm, now) &&
                             this->with.upstreams.may_serve(who.route.pool);
     if (is_in_vain)
         this->with.record.note(
@@ -345,8 +344,8 @@
     who.state = caller_state::pausing;
     time_point const now = this->with.time.now();
     // A change, or trouble, that came meanwhile voids the probe.
-    bool const is_bound = this->with.disturbed.is_vm_calm(*who.only_vm, now) &&
-                          this->with.disturbed.is_store_calm(now);
+    bool const is_bound =
+        this->with.disturbed.is_vm_informed(*who.only_vm, now);
     if (was_ended || is_served == is_wanted || !is_bound)
         return;
     this->with.record.note(
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -22,6 +22,8 @@
 constexpr int callers_host = 30;
 constexpr int first_vm_host = 100;
 constexpr int hosts_of_a_network = 100;
+/// VMs listen to their peers in a network so far below the run's own.
+constexpr int networks_behind = 100;
 
 constexpr std::uint16_t listings_port = 443;
 constexpr std::uint16_t media_port = 444;
@@ -144,11 +146,25 @@
                 parse_ipv4(this->addresses.platform()).value(), port},
             socket_address{
                 parse_ipv4(this->addresses.platform()).value(), store_port});
+        int const host = first_vm_host + static_cast<int>(number);
+        std::string const known = this->addresses.host(host);
+        std::string const behind =
+            thin_path::address_plan(this->places.network - networks_behind)
+                .host(host);
+        auto const at = [](std::string const& address, std::uint16_t listened)
+        {
+            return socket_address{parse_ipv4(address).value(), listened};
+        };
+        added.peer_address = parse_ipv4(behind).value();
+        added.relay = std::make_unique<peer_relay>(
+            at(known, entry_vm::peer_port), at(behind, entry_vm::peer_port));
+        added.documents = std::make_unique<tcp_proxy>(
+            at(known, entry_vm::document_port),
+            at(behind, entry_vm::document_port));
         added.vm = std::make_unique<entry_vm>(entry_vm_plan{
-            this->places.program,
-            this->addresses.host(first_vm_host + static_cast<int>(number)),
-            name_of_domain(number), this->addresses.platform(), port, seeds,
-            this->places.folder, "vm-" + std::to_string(number)});
+            this->places.program, known, behind, name_of_domain(number),
+            this->addresses.platform(), port, seeds, this->places.folder,
+            "vm-" + std::to_string(number)});
         this->vms.push_back(std::move(added));
     }
 }
@@ -315,6 +331,11 @@
         return this->strike_upstream(what);
     case fault_kind::change_routes:
         return this->change_routes();
+    case fault_kind::peers_cut:
+    case fault_kind::peers_one_way:
+        return this->strike_peers(what, vm);
+    case fault_kind::peers_harmed:
+        return this->harm_all_peers(what.length);
     }
 }
 
@@ -404,6 +425,51 @@
         });
 }
 
+void soak_run::strike_peers(fault const& what, std::size_t vm)
+{
+    bool const is_heard = what.kind == fault_kind::peers_one_way;
+    time_point const end = this->now() + what.length;
+    this->disturbed.note_peers(vm, end);
+    this->vms[vm].relay->set_condition(peer_condition::cut);
+    this->vms[vm].documents->set_condition(link_condition::silent);
+    if (!is_heard)
+        this->cut_sender(vm, true);
+    this->time.add(
+        end,
+        [this, vm]
+        {
+            this->vms[vm].relay->set_condition(peer_condition::good);
+            this->vms[vm].documents->set_condition(link_condition::good);
+            this->cut_sender(vm, false);
+        });
+}
+
+void soak_run::cut_sender(std::size_t vm, bool is_cut)
+{
+    if (is_cut)
+        this->unheard.insert(this->vms[vm].peer_address);
+    else
+        this->unheard.erase(this->vms[vm].peer_address);
+    for (vm_state const& each : this->vms)
+        each.relay->set_cut_senders(this->unheard);
+}
+
+void soak_run::harm_all_peers(duration length)
+{
+    time_point const end = this->now() + length;
+    for (std::size_t vm = 0; vm < this->vms.size(); ++vm)
+    {
+        this->disturbed.note_peers(vm, end);
+        this->vms[vm].relay->set_condition(peer_condition::harmed);
+        this->time.add(
+            end,
+            [this, vm]
+            {
+                this->vms[vm].relay->set_condition(peer_condition::good);
+            });
+    }
+}
+
 void soak_run::strike_packets(packet_harm kind, duration length)
 {
     time_point const end = this->now() + length;
@@ -452,8 +518,7 @@
     for (std::size_t vm = 0; vm < this->vms.size(); ++vm)
     {
         bool const is_bound = this->vms[vm].is_meant_to_run &&
-                              this->disturbed.is_vm_calm(vm, changed_at) &&
-                              this->disturbed.is_store_calm(changed_at);
+                              this->disturbed.is_vm_informed(vm, changed_at);
         if (!is_bound)
             continue;
         if (added == this->extra_port)
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <soak/entry_vm.hpp>
+#include <soak/peer_relay.hpp>
 #include <soak/scenario.hpp>
 #include <soak/soak_callers.hpp>
 #include <soak/soak_upstreams.hpp>
@@ -39,7 +40,12 @@
     /// What a VM's process is meant to do.
     struct vm_state
     {
+        /// Between it and the store.
         std::unique_ptr<tcp_proxy> link;
+        /// Between its peers and it.
+        std::unique_ptr<peer_relay> relay;
+        std::unique_ptr<tcp_proxy> documents;
+        ipv4_address peer_address;
         std::unique_ptr<entry_vm> vm;
         bool is_meant_to_run = false;
         bool is_paused = false;
@@ -55,6 +61,9 @@
     void strike_vm(fault const& what, std::size_t vm);
     void strike_store(fault const& what);
     void strike_link(fault const& what, std::size_t vm);
+    void strike_peers(fault const& what, std::size_t vm);
+    void harm_all_peers(duration length);
+    void cut_sender(std::size_t vm, bool is_cut);
     void strike_packets(packet_harm kind, duration length);
     void strike_upstream(fault const& what);
     void change_routes();
@@ -81,6 +90,8 @@
     packet_path path;
     tagged_path::store store;
     std::vector<vm_state> vms;
+    /// VMs whose peers do not hear them.
+    absl::flat_hash_set<ipv4_address> unheard;
     std::unique_ptr<soak_upstreams> upstreams;
     std::unique_ptr<soak_callers> callers;
     std::uint64_t configuration = 10;
--- a/soak/soak_upstreams.cpp
+++ b/soak/soak_upstreams.cpp
@@ -229,8 +229,7 @@
         this->with.record.note(now, broken_promise::wrong_service, what);
     auto const since = at.serving->draining_since();
     bool const is_bound = since && now > *since + drain_bound &&
-                          this->with.disturbed.is_vm_calm(vm, now) &&
-                          this->with.disturbed.is_store_calm(now);
+                          this->with.disturbed.is_vm_informed(vm, now);
     if (is_bound)
         this->with.record.note(now, broken_promise::new_at_leaving, what);
 }
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -235,6 +235,21 @@
     cr_expect(same.publishes == platform_protocol::documents);
 }
 
+Test(settings, a_vm_listens_to_its_peers_where_it_is_told)
+{
+    daemon_settings const usual = parse_settings(good_settings);
+    cr_expect_eq(
+        usual.peers.listen_address.value(), usual.reducer.self.id.value());
+    daemon_settings const told = parse_settings(replace_part(
+        good_settings, "peers:\n", "peers:\n  listen: 127.0.1.7\n"));
+    cr_expect(told.peers.listen_address == *parse_ipv4("127.0.1.7"));
+    cr_expect_eq(told.reducer.self.id, usual.reducer.self.id);
+    cr_expect_throw(
+        static_cast<void>(parse_settings(replace_part(
+            good_settings, "peers:\n", "peers:\n  listen: here\n"))),
+        settings_rejected);
+}
+
 /// Reads the text with each slip and expects its error.
 void expect_errors(
     std::string const& good, std::span<bad_document<kind> const> cases)
--- a/tests/soak/test_scenario.cpp
+++ b/tests/soak/test_scenario.cpp
@@ -46,7 +46,7 @@
 {
     std::set<fault_kind> drawn;
     std::size_t overlapping = 0;
-    for (std::uint64_t seed = 1; seed <= 50; ++seed)
+    for (std::uint64_t seed = 1'001; seed <= 1'050; ++seed)
     {
         auto const plan = draw_scenario(seed, 4);
         for (std::size_t at = 0; at < plan.faults.size(); ++at)
@@ -62,6 +62,23 @@
     cr_expect_gt(overlapping, 100);
 }
 
+Test(scenario, seeds_that_were_kept_stay_what_they_were)
+{
+    // Symptom: a seed that failed once shows nothing any more. Sequence: a kind
+    // of fault is added. Cause: draws that depend on how many kinds there are.
+    auto const kept = write_scenario(draw_scenario(17, 4));
+    for (std::string const fault :
+         {"at: 96ms, kind: link_slow, target: 13, length: 1327ms",
+          "at: 9479ms, kind: pause_vm, target: 4, length: 2347ms",
+          "at: 14270ms, kind: reuse_address, target: 5, length: 1767ms"})
+        cr_expect(kept.find(fault) != std::string::npos, "%s", fault.c_str());
+    for (std::uint64_t seed = 1; seed <= 50; ++seed)
+    {
+        for (fault const& each : draw_scenario(seed, 4).faults)
+            cr_expect_lt(each.kind, fault_kind::peers_cut);
+    }
+}
+
 Test(scenario, bad_files_are_refused)
 {
     thin_path::temporary_folder const folder;
