Versions: Succeed readers that are not heard

A reader that is asked in vain finds out after 2.5 s, one that died asks nobody, and membership misses it after seconds. The tree that changes go down had dead VMs in it. Change: readers tell up to sixteen VMs of their domain of each answered call; who hears of none for versions.reader_patience (1.2 s in deploy/) reads, 60 ms after the one before. Heartbeats carry the digest, and what differs is asked for at once; a successor tells all listeners of changes. A domain of which nobody is served still learns by the pings of other domains.

--- a/emulator/emulated_fleet.cpp
+++ b/emulator/emulated_fleet.cpp
@@ -145,6 +145,7 @@
     // As deploy/ sets them.
     settings.versions.join_timeout = 1s;
     settings.versions.watch_wait = 2s;
+    settings.versions.reader_patience = 1'200ms;
     settings.handover.leave_turn = 4'100ms;
     settings.handover.leave_minimum = 1'300ms;
     settings.handover.leave_timeout = 1'400ms;
@@ -613,6 +614,7 @@
     node& reading = *this->nodes[vm];
     if (!reading.watch_deadline)
         return;
+    this->apply(vm, platform_answered{});
     platform_listed listed;
     bool has_news = false;
     std::uint64_t highest = 0;
--- a/libraries/event/event.hpp
+++ b/libraries/event/event.hpp
@@ -137,6 +137,11 @@
 {
 };
 
+/// The platform answered a call, whatever came of it; a watch may be many.
+struct platform_answered
+{
+};
+
 /// A document's text arrived.
 struct document_fetched
 {
@@ -173,6 +178,7 @@
         leave_requested,
         platform_listed,
         platform_failed,
+        platform_answered,
         document_fetched,
         document_fetch_failed,
         upstream_probed>;
--- a/libraries/event/settings.hpp
+++ b/libraries/event/settings.hpp
@@ -91,6 +91,10 @@
 {
     /// How many VMs of each failure domain watch the platform.
     std::uint32_t readers_per_domain = 2;
+    /// VMs that hear of no reader for this long read in its place. Longer than
+    /// two calls of a reader are apart. Zero: nobody does, as where a call may
+    /// wait for long.
+    duration reader_patience = 0s;
     /// How long one blocking watch waits at the platform.
     duration watch_wait = 30s;
     /// Back-off after a failed platform call, doubled up to the maximum.
--- a/libraries/protocol/control_message.hpp
+++ b/libraries/protocol/control_message.hpp
@@ -48,7 +48,7 @@
     bool operator==(ping_request const&) const = default;
 };
 
-/// Whether a message asks the receiver to answer with one of its kind.
+/// Whether a listing asks the receiver to answer with its own.
 enum class listing_kind : std::uint8_t
 {
     request = 0,
@@ -105,13 +105,13 @@
     bool operator==(registry_change const&) const = default;
 };
 
-/// The platform does not answer the sender, an elected reader: read it for me
-/// for a while. The answer says that the platform answers its sender.
-struct reading_substitution
+/// The platform has just answered the sender, which reads it for others. Its
+/// documents are those from before this answer: what differs here was missed.
+struct reading_heartbeat
 {
-    listing_kind kind = listing_kind::request;
+    std::uint64_t documents_digest = 0;
 
-    bool operator==(reading_substitution const&) const = default;
+    bool operator==(reading_heartbeat const&) const = default;
 };
 
 /// Pins of idle flows, copied to where they now belong.
@@ -163,7 +163,7 @@
     pin_batch,
     upstream_report_listing,
     registry_change,
-    reading_substitution>;
+    reading_heartbeat>;
 
 struct control_message
 {
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -393,6 +393,12 @@
     this->versions.receive(now, body, out);
 }
 
+void reducer::handle(
+    time_point now, platform_answered const& body, effect_list& out)
+{
+    this->versions.receive(now, body, out);
+}
+
 void reducer::handle(
     time_point now, document_fetched const& body, effect_list& out)
 {
@@ -471,7 +477,7 @@
 void reducer::receive(
     time_point now,
     vm_id sender,
-    reading_substitution const& message,
+    reading_heartbeat const& message,
     effect_list& out)
 {
     this->versions.receive(now, sender, message, out);
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -79,6 +79,7 @@
     void handle(time_point now, leave_requested const& body, effect_list& out);
     void handle(time_point now, platform_listed const& body, effect_list& out);
     void handle(time_point now, platform_failed const& body, effect_list& out);
+    void handle(time_point now, platform_answered const&, effect_list& out);
     void handle(time_point now, document_fetched const& body, effect_list& out);
     void
     handle(time_point now, document_fetch_failed const& body, effect_list& out);
@@ -114,7 +115,7 @@
     void receive(
         time_point now,
         vm_id sender,
-        reading_substitution const& message,
+        reading_heartbeat const& message,
         effect_list& out);
     void receive(
         time_point now,
--- a/libraries/runtime/packet_thread.cpp
+++ b/libraries/runtime/packet_thread.cpp
@@ -256,6 +256,8 @@
     this->flow_counts.observe_call(
         called.was_answered ? call_outcome::answered : call_outcome::failed,
         called.took);
+    if (called.was_answered)
+        this->driver.apply(platform_answered{});
 }
 
 void packet_thread::take(document_request& asked)
--- a/libraries/settings/section_fields.hpp
+++ b/libraries/settings/section_fields.hpp
@@ -189,8 +189,11 @@
     using durations = duration_field<section>;
     using numbers = number_field<section>;
 
-    static constexpr std::array<section_field<section>, 7> fields = {{
+    static constexpr std::array<section_field<section>, 8> fields = {{
         numbers{"readers_per_domain", &section::readers_per_domain, 1, 64},
+        durations{
+            "reader_patience", &section::reader_patience, duration::zero(),
+            longest_timeout},
         durations{"watch_wait", &section::watch_wait, 1s, 10min},
         durations{
             "backoff_minimum", &section::backoff_minimum, shortest_duration,
--- a/libraries/versions/peer_selection.cpp
+++ b/libraries/versions/peer_selection.cpp
@@ -4,37 +4,13 @@
 
 #include <absl/container/flat_hash_set.h>
 #include <algorithm>
-#include <tuple>
 
 namespace cairnhead
 {
 
-namespace
+reader_rank::reader_rank(failure_domain_id domain, vm_id ranked)
+    : hash(hash_pair(domain.value(), ranked.value())), vm(ranked)
 {
-
-/// Order of VMs as readers of one failure domain; the id settles ties.
-auto rank_reader(failure_domain_id domain, vm_id vm)
-{
-    return std::tuple(hash_pair(domain.value(), vm.value()), vm);
-}
-
-} // namespace
-
-bool is_elected_reader(
-    vm_identity const& self,
-    std::span<document_peer const> peers,
-    std::uint32_t readers)
-{
-    auto const own_rank = rank_reader(self.domain, self.id);
-    std::uint32_t ahead = 0;
-    for (auto const& peer : peers)
-    {
-        if (peer.domain != self.domain || peer.id == self.id)
-            continue;
-        if (rank_reader(peer.domain, peer.id) > own_rank)
-            ++ahead;
-    }
-    return ahead < readers;
 }
 
 std::vector<vm_id> choose_announce_targets(
--- a/libraries/versions/peer_selection.hpp
+++ b/libraries/versions/peer_selection.hpp
@@ -11,14 +11,17 @@
 namespace cairnhead
 {
 
-/// Whether this VM is one of the `readers` VMs of its failure domain that
-/// watch the platform: those that hash highest among the reachable ones. All
-/// VMs of a failure domain that see the same peers agree without a message.
-/// No precondition. Thread safety: no shared state.
-[[nodiscard]] bool is_elected_reader(
-    vm_identity const& self,
-    std::span<document_peer const> peers,
-    std::uint32_t readers);
+/// Where a VM stands among the readers of its failure domain: the highest come
+/// first, and no two are equal.
+struct reader_rank
+{
+    std::uint64_t hash = 0;
+    vm_id vm;
+
+    reader_rank(failure_domain_id domain, vm_id ranked);
+
+    auto operator<=>(reader_rank const&) const = default;
+};
 
 /// Random peers to tell of new documents: first one of each other failure
 /// domain, then any. Peers of the own failure domain alone would keep a
--- a/libraries/versions/platform_watch.cpp
+++ b/libraries/versions/platform_watch.cpp
@@ -78,14 +78,4 @@
     return this->was_answered;
 }
 
-bool platform_watch::is_failing() const
-{
-    return this->is_unreachable;
-}
-
-bool platform_watch::is_served() const
-{
-    return this->was_answered && !this->is_unreachable;
-}
-
 } // namespace cairnhead
--- a/libraries/versions/platform_watch.hpp
+++ b/libraries/versions/platform_watch.hpp
@@ -43,12 +43,6 @@
     /// Whether the platform ever answered. No precondition.
     [[nodiscard]] bool has_answered() const;
 
-    /// Whether the last watch failed. No precondition.
-    [[nodiscard]] bool is_failing() const;
-
-    /// Whether the last watch was answered. No precondition.
-    [[nodiscard]] bool is_served() const;
-
 private:
     void start(time_point now, effect_list& effects);
 
--- a/libraries/versions/version_store.cpp
+++ b/libraries/versions/version_store.cpp
@@ -33,6 +33,9 @@
 /// the message and its authentication.
 constexpr std::size_t maximum_relayed_bytes = 900;
 
+/// A successor tells as many VMs of a change as hear that it reads.
+constexpr std::size_t successor_fanout = 16;
+
 std::string_view name_of(registry_document document)
 {
     return document == registry_document::routes ? route_document_name
@@ -53,7 +56,8 @@
     vm_identity const& own,
     std::uint64_t random_seed)
     : settings(chosen), self(own), random(random_seed), fetches(chosen),
-      watch(chosen), in_force(std::make_shared<directory const>())
+      watch(chosen), succession(chosen, own),
+      in_force(std::make_shared<directory const>())
 {
 }
 
@@ -71,6 +75,7 @@
 {
     this->begin(now);
     this->peers.assign(reachable.begin(), reachable.end());
+    this->succession.set_peers(now, reachable);
     std::erase_if(
         this->peers,
         [this](document_peer const& peer)
@@ -95,26 +100,19 @@
     if (is_complete)
         this->progress_deadline = now + this->settings.join_timeout;
     // Without a peer in its failure domain a VM is always elected.
-    this->is_reading = this->is_elected() || now >= this->progress_deadline ||
-                       this->substitutes.is_substitute(now);
-}
-
-void version_store::search_substitute(time_point now, effect_list& effects)
-{
-    if (this->watch.is_failing() && this->is_elected())
-        this->substitutes.search(
-            now, this->self, this->peers, this->random, effects);
+    this->is_reading = this->succession.is_elected() ||
+                       this->succession.is_successor(now) ||
+                       now >= this->progress_deadline;
 }
 
 void version_store::report_reading(time_point now, effect_list& effects)
 {
     if (std::exchange(this->was_reading, this->is_reading) == this->is_reading)
         return;
-    bool const is_substitute = this->substitutes.is_substitute(now);
-    auto const why = !this->is_reading    ? "others_elected"
-                     : this->is_elected() ? "elected"
-                     : is_substitute      ? "reader_turned_away"
-                                          : "documents_missing";
+    auto const why = !this->is_reading                    ? "others_read"
+                     : this->succession.is_elected()      ? "elected"
+                     : this->succession.is_successor(now) ? "no_reader_heard"
+                                                          : "documents_missing";
     effects.push_back(report{
         this->is_reading ? report_kind::reading_started
                          : report_kind::reading_stopped,
@@ -123,12 +121,6 @@
         {{"why", why}, {"known_peers", std::to_string(this->peers.size())}}});
 }
 
-bool version_store::is_elected() const
-{
-    return is_elected_reader(
-        this->self, this->peers, this->settings.readers_per_domain);
-}
-
 platform_access version_store::get_access() const
 {
     return this->is_reading ? platform_access::reading : platform_access::none;
@@ -142,7 +134,6 @@
     this->update_access(now);
     this->report_reading(now, effects);
     this->watch.tick(now, this->get_access(), this->random, effects);
-    this->search_substitute(now, effects);
     this->ask_peers_on_joining(now, effects);
     this->start_fetches(now, effects);
 }
@@ -173,8 +164,6 @@
 {
     this->begin(now);
     this->watch.listed(now, event.index, this->random, effects);
-    this->substitutes.end_search();
-    this->substitutes.confirm(now, effects);
     this->report_staleness(event, effects);
     for (auto const& stamp : event.documents)
     {
@@ -221,27 +210,32 @@
 {
     this->begin(now);
     this->watch.failed(now, this->random, effects);
-    this->substitutes.give_up();
-    this->search_substitute(now, effects);
+    this->succession.failed(now);
+}
+
+void version_store::receive(
+    time_point now, platform_answered const&, effect_list& effects)
+{
+    this->begin(now);
+    for (vm_id const listener : this->succession.answered(now))
+        effects.push_back(
+            send_control{listener, reading_heartbeat{this->digest()}});
 }
 
 void version_store::receive(
     time_point now,
     vm_id sender,
-    reading_substitution const& message,
+    reading_heartbeat const& message,
     effect_list& effects)
 {
     this->begin(now);
-    if (message.kind == listing_kind::answer)
-        return this->substitutes.confirmed(now, sender);
     if (!this->is_from_own_domain(sender))
         return;
-    bool const is_served = this->is_reading && this->watch.is_served();
-    this->substitutes.asked(now, sender);
-    this->update_access(now);
-    if (is_served)
-        this->substitutes.confirm(now, effects);
-    this->watch.tick(now, this->get_access(), this->random, effects);
+    this->succession.heard(now, sender);
+    // What is new came to the reader a call ago. Where it is still missing, the
+    // tree was broken: VMs that died lately are in it, and nobody knows.
+    if (message.documents_digest != this->digest())
+        this->ask_for_listing(now, sender, effects);
 }
 
 void version_store::receive(
@@ -278,6 +272,12 @@
     }
     if (this->has_peer_answered && this->is_spreading(now))
         return;
+    this->ask_for_listing(now, peer, effects);
+}
+
+void version_store::ask_for_listing(
+    time_point now, vm_id peer, effect_list& effects)
+{
     auto& next_request = this->next_requests[peer];
     if (now < next_request)
         return;
@@ -398,7 +398,7 @@
     // What a VM learns as it joins is news to nobody else: if each told, a
     // start of all VMs would have each of them tell all others.
     bool const has_joined = held_before != document_version();
-    if (is_news_here && (has_joined || this->is_elected()))
+    if (is_news_here && (has_joined || this->succession.is_elected()))
         this->originate(document, held_before, effects);
 }
 
@@ -420,8 +420,13 @@
 {
     if (!this->relays.begin(change))
         return;
-    auto const targets = relay_targets(
-        this->self, this->peers, change.origin, this->settings.relay_fanout);
+    // Where the elected readers are gone, so may be others of the tree.
+    bool const is_tree_sound =
+        change.origin != this->self.id || this->succession.is_elected();
+    std::size_t const fanout =
+        is_tree_sound ? this->settings.relay_fanout : successor_fanout;
+    auto const targets =
+        relay_targets(this->self, this->peers, change.origin, fanout);
     for (vm_id const target : targets)
         effects.push_back(send_control{target, change});
 }
--- a/libraries/versions/version_store.hpp
+++ b/libraries/versions/version_store.hpp
@@ -9,7 +9,7 @@
 #include <versions/document_table.hpp>
 #include <versions/fetch_queue.hpp>
 #include <versions/platform_watch.hpp>
-#include <versions/reading_substitutes.hpp>
+#include <versions/reader_succession.hpp>
 #include <versions/relay_memory.hpp>
 
 #include <absl/container/flat_hash_map.h>
@@ -41,7 +41,7 @@
 ///
 /// A VM that is no reader still reads the platform while it has no peer,
 /// while it has lacked a document for `join_timeout` without getting any, or
-/// while a reader that the platform turns away asks it to.
+/// while it hears of no reader: see `reader_succession`.
 /// Thread safety of all methods: none; one thread, the reducer's.
 class version_store
 {
@@ -87,12 +87,15 @@
         registry_change const& message,
         effect_list& effects);
 
-    /// A reader asks this VM to read for it, or a substitute answers. No
-    /// precondition.
+    /// The platform answered a call of this VM. No precondition.
+    void receive(
+        time_point now, platform_answered const& event, effect_list& effects);
+
+    /// A reader was answered by the platform. No precondition.
     void receive(
         time_point now,
         vm_id sender,
-        reading_substitution const& message,
+        reading_heartbeat const& message,
         effect_list& effects);
 
     /// If the peer's digest differs from ours for a while, asks for its
@@ -156,6 +159,7 @@
     void ask_peers_on_joining(time_point now, effect_list& effects);
     void
     send_listing(vm_id peer, listing_kind kind, effect_list& effects) const;
+    void ask_for_listing(time_point now, vm_id peer, effect_list& effects);
     void report_staleness(platform_listed const& event, effect_list& effects);
     [[nodiscard]] document_version
     get_highest_known(std::string_view name) const;
@@ -187,9 +191,7 @@
     void announce(effect_list& effects);
     [[nodiscard]] bool is_spreading(time_point now);
     void update_access(time_point now);
-    void search_substitute(time_point now, effect_list& effects);
     void report_reading(time_point now, effect_list& effects);
-    [[nodiscard]] bool is_elected() const;
     [[nodiscard]] platform_access get_access() const;
 
     version_settings settings;
@@ -199,7 +201,7 @@
     document_table documents;
     fetch_queue fetches;
     platform_watch watch;
-    reading_substitutes substitutes;
+    reader_succession succession;
     std::shared_ptr<directory const> in_force;
     std::uint64_t in_force_generation = 0;
     /// Names of texts that arrived and were not announced yet.
--- a/libraries/wire/control_codec.cpp
+++ b/libraries/wire/control_codec.cpp
@@ -144,10 +144,10 @@
             kj::arrayPtr(body.text.data(), body.text.size()).asBytes());
     }
 
-    void operator()(reading_substitution const& body)
+    void operator()(reading_heartbeat const& body)
     {
-        auto part = this->to.initReadingSubstitution();
-        part.setKind(static_cast<peer_schema::ListingKind>(body.kind));
+        this->to.initReadingHeartbeat().setDocumentsDigest(
+            body.documents_digest);
     }
 
 private:
@@ -305,9 +305,9 @@
             read_list<upstream_report>(from.getUpstreamReports())};
     case kind::REGISTRY_CHANGE:
         return read(from.getRegistryChange());
-    case kind::READING_SUBSTITUTION:
-        return reading_substitution{
-            read(from.getReadingSubstitution().getKind())};
+    case kind::READING_HEARTBEAT:
+        return reading_heartbeat{
+            from.getReadingHeartbeat().getDocumentsDigest()};
     }
     throw malformed_datagram(malformed_reason::unknown_kind);
 }
--- a/libraries/wire/peer.capnp
+++ b/libraries/wire/peer.capnp
@@ -109,8 +109,8 @@
   text @3 :Data;
 }
 
-struct ReadingSubstitution {
-  kind @0 :ListingKind;
+struct ReadingHeartbeat {
+  documentsDigest @0 :UInt64;
 }
 
 struct ControlMessage {
@@ -126,7 +126,7 @@
     pinBatch @6 :List(PinClaim);
     upstreamReports @7 :List(UpstreamReport);
     registryChange @8 :RegistryChange;
-    readingSubstitution @9 :ReadingSubstitution;
+    readingHeartbeat @9 :ReadingHeartbeat;
   }
 }
 
--- a/soak/entry_vm.cpp
+++ b/soak/entry_vm.cpp
@@ -143,7 +143,7 @@
          << "\"}\nflow_key: \"" << std::string(32, '7')
          << "\"\ncontrol: {port: 6081}\nmetrics: {port: 0}\n"
          << "versions: {join_timeout: 1s, readers_per_domain: 2, "
-            "watch_wait: 2s}\n"
+            "reader_patience: 1200ms, watch_wait: 2s}\n"
          << "handover: {leave_turn: 4100ms, leave_minimum: 1300ms, "
             "leave_timeout: 1400ms}\n"
          // The one that changes.
