Versions: Compare the ranks of readers by a method of their own

Cause: the linter takes a defaulted comparison for a null pointer. Ruled out: turning the check off.

--- a/libraries/versions/peer_selection.cpp
+++ b/libraries/versions/peer_selection.cpp
@@ -13,6 +13,12 @@
 {
 }
 
+bool reader_rank::is_above(reader_rank const& other) const
+{
+    return this->hash == other.hash ? this->vm > other.vm
+                                    : this->hash > other.hash;
+}
+
 std::vector<vm_id> choose_announce_targets(
     vm_identity const& self,
     std::span<document_peer const> peers,
--- a/libraries/versions/peer_selection.hpp
+++ b/libraries/versions/peer_selection.hpp
@@ -12,7 +12,7 @@
 {
 
 /// Where a VM stands among the readers of its failure domain: the highest come
-/// first, and no two are equal.
+/// first, and no two are equal. All VMs agree on it without a message.
 struct reader_rank
 {
     std::uint64_t hash = 0;
@@ -20,7 +20,8 @@
 
     reader_rank(failure_domain_id domain, vm_id ranked);
 
-    auto operator<=>(reader_rank const&) const = default;
+    /// No precondition. Thread safety: no shared state.
+    [[nodiscard]] bool is_above(reader_rank const& other) const;
 };
 
 /// Random peers to tell of new documents: first one of each other failure
--- a/libraries/versions/reader_succession.cpp
+++ b/libraries/versions/reader_succession.cpp
@@ -44,10 +44,11 @@
             this->listeners.push_back(peer.id);
     }
     std::ranges::sort(
-        this->listeners, std::ranges::greater(),
-        [this](vm_id vm)
+        this->listeners,
+        [this](vm_id first, vm_id second)
         {
-            return reader_rank(this->self.domain, vm);
+            return reader_rank(this->self.domain, first)
+                .is_above(reader_rank(this->self.domain, second));
         });
     this->rank = static_cast<std::size_t>(std::ranges::count_if(
         this->listeners,
@@ -66,8 +67,8 @@
 
 bool reader_succession::is_ahead_of_self(vm_id other) const
 {
-    return reader_rank(this->self.domain, other) >
-           reader_rank(this->self.domain, this->self.id);
+    return reader_rank(this->self.domain, other)
+        .is_above(reader_rank(this->self.domain, this->self.id));
 }
 
 void reader_succession::heard(time_point now, vm_id reader)
--- a/tests/versions/test_reader_succession.cpp
+++ b/tests/versions/test_reader_succession.cpp
@@ -22,10 +22,11 @@
     for (std::uint32_t vm = 1; vm <= count; ++vm)
         vms.emplace_back(vm);
     std::ranges::sort(
-        vms, std::ranges::greater(),
-        [](vm_id vm)
+        vms,
+        [](vm_id first, vm_id second)
         {
-            return reader_rank(domain, vm);
+            return reader_rank(domain, first)
+                .is_above(reader_rank(domain, second));
         });
     return vms;
 }
