Reducer, versions: Part two large files by what they do

Ruled out: new classes; what was moved uses the whole state. Change: what follows from an event for the whole VM is in reducer_refresh.cpp, how changes go down the tree in version_store_relay.cpp; pass_on takes the document's name. Nothing else.

--- a/libraries/versions/version_store.hpp
+++ b/libraries/versions/version_store.hpp
@@ -179,8 +179,9 @@
         registry_document document,
         document_version held_before,
         effect_list& effects);
+    /// Precondition: `is_registry_name(name)`.
     void pass_on(
-        registry_document document,
+        std::string_view name,
         document_version held_before,
         std::optional<vm_id> source,
         effect_list& effects);
