Reducer: Stop being ready in time, whatever else is wrong

Cause: a VM that was told to stop waited for its turn up to 4.1 s and said that it was ready all the while; with the fabric's two misses it was in use for more than 4 s.

Ruled out: a shorter turn alone: with 1.7 s a roll of three VMs 1.2 s apart lost packets for 1.4 s (two VMs that waited for the same third left in the same instant; a VM that was back counted as unused for 0.7 s). Change: one timeline computed from the grace that the platform publishes (stop_timeline.hpp): ready until 2 s, out of use by 3.3 s, passing packets until 5.5 s of 6. A VM that is needed, as another of its domain is down and the fabric uses all, takes all of that time; others end when they are out of use, so that they are back sooner. VMs that wait for the same one leave in the order of their ids, 150 ms apart (was 250), and one that is back counts as used after 250 ms (was 700): the fabric cannot give up the next one before it asked the first. The setting handover.stop_grace replaces leave_turn. Of tests/reducer one figure changed with its constant: three places take 450 ms.

--- a/emulator/emulated_fleet.cpp
+++ b/emulator/emulated_fleet.cpp
@@ -146,9 +146,7 @@
     settings.versions.join_timeout = 1s;
     settings.versions.watch_wait = 2s;
     settings.versions.reader_patience = 1'200ms;
-    settings.handover.leave_turn = 4'100ms;
-    settings.handover.leave_minimum = 1'300ms;
-    settings.handover.leave_timeout = 1'400ms;
+    settings.handover.stop_grace = 6s;
     for (std::uint32_t const each : this->seeds)
         settings.seeds.push_back(this->where.vm(each));
     settings.random_seed = this->seed + started.life;
--- a/libraries/event/settings.hpp
+++ b/libraries/event/settings.hpp
@@ -81,10 +81,10 @@
     /// A planned leave lasts at least this long, so that all VMs learn of it,
     /// and this VM of a death that came just before.
     duration leave_minimum = 10s;
-    /// A VM that is told to stop goes on for at most this long while its leave
-    /// would have the fabric use fewer than half of its failure domain's VMs.
-    /// Zero where no fabric asks for readiness.
-    duration leave_turn = 0s;
+    /// How long after a VM was told to stop its process is killed; the times
+    /// of a leave follow from it. Zero where nothing kills it: then the two
+    /// above hold.
+    duration stop_grace = 0s;
 };
 
 struct version_settings
--- a/libraries/reducer/handover.cpp
+++ b/libraries/reducer/handover.cpp
@@ -61,11 +61,16 @@
         this->finish_leaving(now, context, effects);
 }
 
-void handover::start_leaving(time_point now)
+void handover::start_leaving(time_point earliest_end, time_point latest_end)
 {
     this->leaving = true;
-    this->leave_earliest_at = now + this->settings.leave_minimum;
-    this->leave_latest_at = now + this->settings.leave_timeout;
+    this->leave_earliest_at = earliest_end;
+    this->leave_latest_at = latest_end;
+}
+
+void handover::note_use(bool is_used_now)
+{
+    this->is_used = is_used_now;
 }
 
 bool handover::is_leaving() const
@@ -190,9 +195,11 @@
         return;
     // The other holder of a pin may have died just now. While its death is not
     // known, the pin counts as standing there, and leaving would lose it.
+    bool const may_lose_pins =
+        context.pins.size() > 0 && has_suspect(context.members);
     bool const is_done = this->is_clean_round_done &&
-                         now >= this->leave_earliest_at &&
-                         !has_suspect(context.members);
+                         now >= this->leave_earliest_at && !this->is_used &&
+                         !may_lose_pins;
     if (!is_done && now < this->leave_latest_at)
         return;
     this->is_left = true;
--- a/libraries/reducer/handover.hpp
+++ b/libraries/reducer/handover.hpp
@@ -24,9 +24,14 @@
     void
     tick(time_point now, routing_context const& context, effect_list& effects);
 
-    /// A planned leave starts; the VM is no longer a holder from the next
-    /// membership change on. Precondition: not leaving yet.
-    void start_leaving(time_point now);
+    /// A planned leave starts, to end between these times; the VM is no longer
+    /// a holder from the next membership change on. Precondition: not leaving
+    /// yet.
+    void start_leaving(time_point earliest_end, time_point latest_end);
+
+    /// Whether callers' packets are still sent to this VM, so that a leave is
+    /// to take all its time. No precondition.
+    void note_use(bool is_used_now);
 
     /// Whether a planned leave is under way. No precondition.
     [[nodiscard]] bool is_leaving() const;
@@ -60,6 +65,7 @@
     time_point leave_earliest_at;
     time_point leave_latest_at;
     bool leaving = false;
+    bool is_used = false;
     bool is_left = false;
     /// Whether a round that began after the leave was announced to all found
     /// every pin copied.
--- a/libraries/reducer/leave_turn.cpp
+++ b/libraries/reducer/leave_turn.cpp
@@ -8,28 +8,25 @@
 namespace
 {
 
-/// A fabric that asks twice a second uses a VM again at the latest that long
-/// after it answered; the rest is what the VM takes to know the registry.
-constexpr duration time_until_used = 700ms;
+/// What a VM that came back takes to know the registry. The fabric's next
+/// question then finds it ready, half a second later at most; and it gives up
+/// one that goes no earlier than half a second after its last ready answer.
+constexpr duration time_until_used = 250ms;
 
 /// A VM that died may be started again; fabrics count it as one of its domain
 /// meanwhile. After this it was taken away.
 constexpr duration time_until_given_up = 10s;
 
-/// VMs that are told to stop in the same instant cannot know of each other.
-/// They begin this far apart, in the order of their ids: enough for an
-/// announcement to arrive and a tick to pass.
-constexpr duration distance = 250ms;
+/// VMs that are told to stop in the same instant, or that wait for the same one
+/// to come back, cannot know of each other. They begin this far apart, in the
+/// order of their ids: enough for an announcement to arrive and a tick to pass.
+constexpr duration distance = 150ms;
 
 /// Of larger domains the fabric can spare several at once.
 constexpr std::size_t largest_place = 3;
 
 } // namespace
 
-leave_turn::leave_turn(duration longest_wait) : longest(longest_wait)
-{
-}
-
 void leave_turn::observe(
     time_point now, vm_identity const& self, std::span<member const> members)
 {
@@ -92,31 +89,54 @@
         ++counted.all;
         if (is_used(each, now))
             ++counted.used;
+        else if (each.status != member_status::leaving)
+            ++counted.down;
     }
     return counted;
 }
 
-void leave_turn::request(time_point now)
+bool leave_turn::is_needed(time_point now) const
 {
-    this->latest_at = now + this->longest;
-    auto const behind = static_cast<int>(std::min(this->place, largest_place));
-    this->earliest_at = std::min(this->latest_at, now + distance * behind);
+    auto const [used, all, down] = this->use(now);
+    // With this VM there are `all + 1`.
+    bool const are_all_used = used > 0 && used * 2 < all + 1;
+    return are_all_used && down > 0;
+}
+
+void leave_turn::request(time_point now, time_point latest)
+{
+    this->latest_at = latest;
+    this->has_asked = true;
+    this->look(now);
 }
 
 bool leave_turn::is_waiting() const
 {
-    return this->earliest_at.has_value();
+    return this->has_asked;
+}
+
+void leave_turn::look(time_point now)
+{
+    auto const others = this->use(now);
+    // With this VM there is one more.
+    bool const is_enough_left =
+        others.used * 2 >= others.all + 1 || others.all == 0;
+    if (!is_enough_left)
+        return this->earliest_at.reset();
+    auto const behind = static_cast<int>(std::min(this->place, largest_place));
+    if (!this->earliest_at)
+        this->earliest_at = now + distance * behind;
 }
 
 bool leave_turn::take(time_point now)
 {
-    if (!this->earliest_at || now < *this->earliest_at)
+    if (!this->has_asked)
         return false;
-    auto const [used, all] = this->use(now);
-    // With this VM there are `all + 1`.
-    bool const is_enough_left = used * 2 >= all + 1 || all == 0;
-    if (!is_enough_left && now < this->latest_at)
+    this->look(now);
+    bool const has_come = this->earliest_at && now >= *this->earliest_at;
+    if (!has_come && now < this->latest_at)
         return false;
+    this->has_asked = false;
     this->earliest_at.reset();
     return true;
 }
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -48,7 +48,6 @@
           this->settings.self,
           seed_for(this->settings, "placement")),
       admitter(this->settings.admission, this->settings.pins.maximum_pins),
-      turn(this->settings.handover.leave_turn),
       handing_over(this->settings.handover, this->settings.pins),
       tagged(
           this->settings.tagging,
@@ -273,6 +272,8 @@
     this->report_domains(now, out);
     this->placer.tick(now, this->domain_vms, this->peer_vms, out);
     this->predictions.forget_old(now);
+    bool const is_limited = this->settings.handover.stop_grace != 0s;
+    this->handing_over.note_use(is_limited && this->turn.is_needed(now));
     this->handing_over.tick(now, this->context(), out);
 }
 
@@ -341,6 +342,7 @@
 {
     if (this->handing_over.is_leaving() || this->turn.is_waiting())
         return;
+    this->stop = plan_stop(this->settings.handover, now);
     if (!this->has_joined)
     {
         // Nobody knows this VM yet, so there is nothing to hand over.
@@ -348,17 +350,17 @@
         out.emplace_back(leave_complete{});
         return;
     }
-    this->turn.request(now);
+    this->turn.request(now, this->stop.ready_until);
     this->leave_in_turn(now, out);
     if (!this->turn.is_waiting())
         return;
-    auto const [used, all] = this->turn.use(now);
+    auto const others = this->turn.use(now);
     out.emplace_back(report{
         report_kind::leave_awaits_turn,
         {},
         {},
-        {{"others_used", std::to_string(used)},
-         {"others", std::to_string(all)}}});
+        {{"others_used", std::to_string(others.used)},
+         {"others", std::to_string(others.all)}}});
 }
 
 void reducer::leave_in_turn(time_point now, effect_list& out)
@@ -372,7 +374,8 @@
 void reducer::begin_leave(time_point now, effect_list& out)
 {
     out.emplace_back(report{report_kind::leave_started, "", ""});
-    this->handing_over.start_leaving(now);
+    this->handing_over.start_leaving(
+        now + this->stop.notice, this->stop.ends_at);
 }
 
 void reducer::handle(
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -4,6 +4,7 @@
 #include <event/effect.hpp>
 #include <event/event.hpp>
 #include <event/settings.hpp>
+#include <event/stop_timeline.hpp>
 #include <membership/membership.hpp>
 #include <ownership/ownership_table.hpp>
 #include <pins/pin_table.hpp>
@@ -157,6 +158,8 @@
     admission admitter;
     prediction_gate predictions;
     leave_turn turn;
+    /// Of the latest request to stop.
+    stop_timeline stop;
     handover handing_over;
     tag_router tagged;
     std::shared_ptr<directory const> declarations;
--- a/libraries/settings/section_fields.hpp
+++ b/libraries/settings/section_fields.hpp
@@ -166,7 +166,7 @@
     static constexpr std::array<section_field<section>, 4> fields = {{
         numbers{"bytes_per_second", &section::bytes_per_second, 1, any_number},
         durations{
-            "leave_turn", &section::leave_turn, duration::zero(),
+            "stop_grace", &section::stop_grace, duration::zero(),
             longest_timeout},
         durations{
             "leave_timeout", &section::leave_timeout, shortest_duration,
--- a/soak/entry_vm.cpp
+++ b/soak/entry_vm.cpp
@@ -144,8 +144,7 @@
          << "\"\ncontrol: {port: 6081}\nmetrics: {port: 0}\n"
          << "versions: {join_timeout: 1s, readers_per_domain: 2, "
             "reader_patience: 1200ms, watch_wait: 2s}\n"
-         << "handover: {leave_turn: 4100ms, leave_minimum: 1300ms, "
-            "leave_timeout: 1400ms}\n"
+         << "handover: {stop_grace: 6s}\n"
          // The one that changes.
          << "logging: {level: info, lines_per_second: "
          << first_lines_per_second + this->settings_number << "}\n";
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -33,7 +33,7 @@
 constexpr duration start_bound = 30s;
 /// A process needs less to start and learn the registry.
 constexpr duration start_time = 3s;
-/// What settings call leave_timeout, and a margin.
+/// What settings call stop_grace.
 constexpr duration leave_bound = 6s;
 /// A change is in force everywhere by then.
 constexpr duration change_bound = 3500ms;
--- a/tests/reducer/leave_turn_test.cpp
+++ b/tests/reducer/leave_turn_test.cpp
@@ -45,7 +45,7 @@
     [[nodiscard]] duration wait()
     {
         auto const began_at = this->now;
-        this->turn.request(began_at);
+        this->turn.request(began_at, began_at + this->longest);
         while (!this->turn.take(this->now))
             this->now += 50ms;
         return this->now - began_at;
@@ -53,7 +53,8 @@
 
     time_point now{1h};
     std::vector<member> members;
-    leave_turn turn{3s};
+    leave_turn turn;
+    duration longest = 3s;
 };
 
 } // namespace
@@ -66,8 +67,7 @@
     of_five.set(2, member_status::leaving);
     cr_expect(of_five.wait() == 0s);
     domain_of_vms switched_off(2);
-    switched_off.turn = leave_turn(0s);
-    switched_off.observe();
+    switched_off.longest = 0s;
     switched_off.set(2, member_status::leaving);
     cr_expect(switched_off.wait() == 0s);
 }
@@ -79,7 +79,7 @@
     // the fabric uses all VMs of a domain where fewer than half are ready.
     domain_of_vms vms(2);
     vms.set(2, member_status::leaving);
-    vms.turn.request(vms.now);
+    vms.turn.request(vms.now, vms.now + 3s);
     cr_expect_not(vms.turn.take(vms.now + 2s));
     vms.now += 2s;
     vms.set(2, member_status::alive, 2);
@@ -111,17 +111,30 @@
     // Symptom and cause as above; nobody is leaving yet as each is told.
     domain_of_vms vms(4);
     vms.members[0].id = vm_id(9);
-    vms.turn = leave_turn(3s);
+    vms.turn = leave_turn();
     vms.turn.observe(vms.now, {vm_id(9), own_domain}, vms.members);
-    cr_expect(vms.wait() == 750ms);
+    cr_expect(vms.wait() == 450ms);
 }
 
 Test(leave_turn, other_failure_domains_do_not_count)
 {
     domain_of_vms vms(3);
     vms.members[1].domain = other_domain;
-    vms.turn = leave_turn(3s);
+    vms.turn = leave_turn();
     vms.observe();
     vms.set(2, member_status::dead);
     cr_expect(vms.wait() == 0s);
 }
+
+Test(leave_turn, tells_when_the_end_would_cost_packets_at_a_second_vm)
+{
+    domain_of_vms vms(3);
+    cr_expect_not(vms.turn.is_needed(vms.now), "two of three are ready");
+    vms.set(2, member_status::leaving);
+    cr_expect_not(vms.turn.is_needed(vms.now), "the other passes packets");
+    vms.set(2, member_status::dead);
+    cr_expect(vms.turn.is_needed(vms.now), "one of three is ready");
+    vms.set(3, member_status::leaving);
+    cr_expect_not(
+        vms.turn.is_needed(vms.now), "none is ready: others are used");
+}
