Registry: Name starts so that optimised builds take it

Cause: with full optimisation the compiler warns of an overlap in a concatenation that has none, and warnings are errors. Ruled out: a fault of ours: the warning is about a temporary's own bytes. Change: append in place.

--- a/libraries/registry/tag.cpp
+++ b/libraries/registry/tag.cpp
@@ -17,8 +17,10 @@
 std::string name_of_start(registered_upstream const& upstream)
 {
     std::string name = name_of_instance(upstream.instance);
-    if (upstream.life != incarnation())
-        name += "@" + std::to_string(upstream.life.value());
+    if (upstream.life == incarnation())
+        return name;
+    name += '@';
+    name += std::to_string(upstream.life.value());
     return name;
 }
 
