Settings: Take any grace that a platform gives

Cause: a grace below 1.8 s was refused, so that no VM would start on a platform that kills sooner. Ruled out: fractions of seconds in durations: the settings' grammar has whole numbers, with a test for it; a platform that gives a fraction is not served yet (the deploy template would not be valid). Change: a short grace is used as far as it goes: not ready at once, ended before the kill.

--- a/libraries/event/stop_timeline.hpp
+++ b/libraries/event/stop_timeline.hpp
@@ -58,11 +58,13 @@
 /// Whatever the grace, it is to have given a VM up by then.
 inline constexpr duration longest_time_in_use = 3300ms;
 
-/// The least grace with which a VM can leave without cutting off callers.
+/// The least grace with which a VM can leave without cutting off callers. With
+/// less it is not ready from the first moment, and ends while the fabric still
+/// sends callers.
 inline constexpr duration shortest_stop_grace = readiness_notice + time_to_end;
 
-/// Precondition: the settings' grace is zero, for one that nobody limits, or at
-/// least `shortest_stop_grace`. Thread safety: no shared state.
+/// The settings' grace is zero where nobody limits it. No precondition. Thread
+/// safety: no shared state.
 [[nodiscard]] constexpr stop_timeline
 plan_stop(handover_settings const& settings, time_point told_at)
 {
@@ -74,7 +76,8 @@
         std::min<duration>(grace * in_use_percent / 100, longest_time_in_use);
     duration const ready =
         std::max<duration>(in_use - readiness_notice, duration::zero());
-    return {told_at + ready, readiness_notice, told_at + grace - time_to_end};
+    duration const passing = std::max<duration>(grace - time_to_end, grace / 2);
+    return {told_at + ready, readiness_notice, told_at + passing};
 }
 
 } // namespace cairnhead
--- a/libraries/settings/settings.cpp
+++ b/libraries/settings/settings.cpp
@@ -1,5 +1,4 @@
 #include <base/hash.hpp>
-#include <event/stop_timeline.hpp>
 #include <settings/settings.hpp>
 #include <settings/settings_reader.hpp>
 
@@ -88,7 +87,6 @@
         this->read_reducer_sections(file);
         this->check_ports(file);
         this->check_pairing(file);
-        this->check_stop_grace(file);
         if (this->errors.is_empty())
             return std::move(this->result);
         throw settings_rejected(hide_secrets(this->errors.take()));
@@ -508,14 +506,6 @@
             this->add(kind::conflicting_values, file, "platform");
     }
 
-    /// With less, callers would still be sent to a VM as it is killed.
-    void check_stop_grace(settings_mapping const& file)
-    {
-        duration const grace = this->result.reducer.handover.stop_grace;
-        if (grace != duration::zero() && grace < shortest_stop_grace)
-            this->add(kind::out_of_range, file, "handover");
-    }
-
     void claim_port(
         settings_mapping const& file,
         std::string_view section,
--- a/tests/reducer/stop_timeline_test.cpp
+++ b/tests/reducer/stop_timeline_test.cpp
@@ -36,6 +36,17 @@
     }
 }
 
+Test(stop_timeline, a_grace_that_is_too_short_is_used_as_far_as_it_goes)
+{
+    for (duration grace = 100ms; grace < shortest_stop_grace; grace += 100ms)
+    {
+        auto const planned = plan(grace);
+        cr_expect(planned.ready_until == told_at);
+        cr_expect(planned.ends_at > told_at);
+        cr_expect(planned.ends_at < told_at + grace);
+    }
+}
+
 Test(stop_timeline, of_six_seconds)
 {
     auto const planned = plan(6s);
