Tagging: Count waits for the pool of the upstream that answered

Cause: a route that is split between pools had all its waits counted for its first one, so that an overloaded second pool refused callers of the first. Ruled out: one control a route: pools are shared between routes. Change: the upstream's own pool; a pool without answers is forgotten.

--- a/libraries/tagging/queue_delay_control.cpp
+++ b/libraries/tagging/queue_delay_control.cpp
@@ -61,10 +61,15 @@
     return this->refused_share;
 }
 
+bool queue_delay_control::is_idle(time_point now) const
+{
+    return now > this->latest_answer_at + memory;
+}
+
 void queue_delay_control::update(time_point now, duration target)
 {
     this->next_update_at = now + update_period;
-    if (now > this->latest_answer_at + memory)
+    if (this->is_idle(now))
     {
         *this = {};
         this->next_update_at = now + update_period;
--- a/libraries/tagging/queue_delay_control.hpp
+++ b/libraries/tagging/queue_delay_control.hpp
@@ -36,6 +36,10 @@
     /// Precondition: `now` never falls.
     [[nodiscard]] double share(time_point now, duration target);
 
+    /// Whether there were no answers for so long that nothing is known. No
+    /// precondition.
+    [[nodiscard]] bool is_idle(time_point now) const;
+
 private:
     void update(time_point now, duration target);
 
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -289,6 +289,12 @@
             this->uncount(expired);
         });
     this->known.forget_old(now);
+    std::erase_if(
+        this->delays,
+        [now](auto const& entry)
+        {
+            return entry.second.is_idle(now);
+        });
     this->suspect_unreachable(now);
     this->check_silent(now, effects);
     this->domains.ask_again(now);
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -210,7 +210,6 @@
         tagged_upstream& upstream,
         effect_list& effects);
     void note_answered(time_point at, tagged_upstream& upstream);
-    void note_wait(time_point now, tagged_flow const& flow);
     [[nodiscard]] bool is_beyond_queue(
         time_point now,
         packet_arrived const& packet,
--- a/libraries/tagging/tag_router_reach.cpp
+++ b/libraries/tagging/tag_router_reach.cpp
@@ -205,7 +205,8 @@
     // One that comes with the next request, or with the end, may be seconds
     // old, and says nothing of the wait.
     if (is_answered && !is_late && flow.awaits_answer)
-        this->note_wait(now, flow);
+        this->delays[upstream.registered.pool].note_answer(
+            now, now - flow.data_at);
     flow.awaits_answer &= !is_answered;
     // Numbers wrap around, so their difference tells which comes first.
     auto const ahead =
@@ -227,14 +228,6 @@
     flow.awaits_answer = true;
 }
 
-void tag_router::note_wait(time_point now, tagged_flow const& flow)
-{
-    auto const route = this->route_by_address.find(flow.destination);
-    if (route != this->route_by_address.end())
-        this->delays[route->second->pools.front().pool].note_answer(
-            now, now - flow.data_at);
-}
-
 void tag_router::note_repetition(
     time_point now,
     packet_arrived const& packet,
--- a/tests/tagging/test_overload.cpp
+++ b/tests/tagging/test_overload.cpp
@@ -96,3 +96,22 @@
     for (std::uint64_t flow = 5'000; flow < 5'200; ++flow)
         cr_expect_neq(vm.open(flow), 0);
 }
+
+// Symptom: a service refuses callers while its upstreams have time. Sequence:
+// a route is split between two pools, and one of them is overloaded.
+// Cause: waits that are counted for the route's first pool, not for the one
+// that the upstream is of.
+Test(overload, waits_of_one_pool_refuse_nobody_of_another)
+{
+    bench vm({make_upstream(1), make_upstream(2, "other")});
+    vm.list_routes(target);
+    for (std::uint32_t round = 1; round <= 40; ++round)
+    {
+        for (std::uint64_t flow = 1; flow <= known_flows; ++flow)
+            vm.request(flow, 2, round * 100);
+        vm.wait(300ms);
+        for (std::uint64_t flow = 1; flow <= known_flows; ++flow)
+            vm.acknowledge(flow, 2, 500 + round * 100);
+        cr_expect_neq(vm.open(1'000 + round), 0);
+    }
+}
