--- a/emulator/memory_need.cpp
+++ b/emulator/memory_need.cpp
@@ -8,13 +8,11 @@
 namespace
 {
 
-/// A VM without a registry: 0.57 MB, by the line through idle fleets of 100 and
-/// 300 VMs.
+/// Of a VM without a registry.
 constexpr std::uint64_t bytes_of_vm = 600'000;
 
-/// Of one upstream at one VM: 382 bytes by the same line, and three times as
-/// much while all VMs take in whole registries at once: 9.4 MB of a VM with
-/// 7,150 upstreams, in a fleet of 1,300 that started.
+/// Of one upstream at one VM, while all VMs take in whole registries at once:
+/// several times of what it is at rest.
 constexpr std::uint64_t bytes_of_upstream = 1'250;
 
 } // namespace
--- a/libraries/event/settings.hpp
+++ b/libraries/event/settings.hpp
@@ -105,8 +105,7 @@
     /// New documents are announced to this many VMs at once.
     std::uint32_t announce_fanout = 4;
     /// Branches of the tree by which changes of a registry reach a failure
-    /// domain. Four reach 340 VMs in four steps; a VM with a link of 10 Mbit/s
-    /// hands on a text of 100 KB in a third of a second.
+    /// domain. More make it lower, and load each VM's link and processor more.
     std::uint32_t relay_fanout = 4;
     /// A joiner that hears from nobody for this long starts alone.
     duration join_timeout = 5s;
--- a/libraries/event/stop_timeline.hpp
+++ b/libraries/event/stop_timeline.hpp
@@ -36,8 +36,7 @@
 /// A fabric gives up a VM after so many answers that are missing or negative.
 inline constexpr int readiness_misses = 2;
 
-/// For a VM that wakes up late, on a twentieth of a processor, and for an
-/// answer that is on its way.
+/// For a VM that wakes up late, and for an answer that is on its way.
 inline constexpr duration readiness_lateness = 300ms;
 
 /// How long a fabric takes to give up a VM that is not ready any more.
@@ -48,11 +47,8 @@
 /// lines.
 inline constexpr duration time_to_end = 500ms;
 
-/// A fabric is to have given a VM up in this part of its grace: 3.3 of 6
-/// seconds. It counts one that is in use after 4 seconds as a failure, and a
-/// VM that was gone is back 2.5 seconds after it was told to stop: with three
-/// VMs a domain that are told 1.2 seconds apart each can wait for the one
-/// before.
+/// A fabric is to have given a VM up in this part of its grace: well before it
+/// is killed, and long enough for a VM that was told before it to be back.
 inline constexpr int in_use_percent = 55;
 
 /// Whatever the grace, it is to have given a VM up by then.
--- a/libraries/membership/membership_listing.cpp
+++ b/libraries/membership/membership_listing.cpp
@@ -19,8 +19,7 @@
 /// What a joiner gets of a listing while too many are asked for.
 constexpr std::size_t sampled_entries = 20;
 
-/// Parts that a VM sends in a second, and at once: 50 KB/s on a link of 10
-/// Mbit/s.
+/// Parts that a VM sends in a tick, and at once: few enough for a small link.
 constexpr std::size_t parts_each_tick = 6;
 constexpr std::size_t maximum_parts_at_once = 60;
 
--- a/libraries/ownership/ownership_table.hpp
+++ b/libraries/ownership/ownership_table.hpp
@@ -50,8 +50,8 @@
 class ownership_table
 {
 public:
-    /// Slots per table; the same on all VMs. More slots spread 2,200 VMs more
-    /// evenly (about 30 slots each) at 28 bytes a slot.
+    /// Slots per table; the same on all VMs. More slots spread VMs more evenly,
+    /// and take more memory.
     static constexpr std::size_t usual_slot_count = 65'536;
 
     /// Precondition: at least one slot.
--- a/libraries/placement/placement_policy.hpp
+++ b/libraries/placement/placement_policy.hpp
@@ -5,9 +5,8 @@
 namespace cairnhead
 {
 
-/// The numbers of the placement policy that were chosen by measurement
-/// (measurements/measure_imbalance.cpp). They are no operator settings;
-/// they stand here so that the measurement can vary them.
+/// The numbers of the placement policy. They are no operator settings; they
+/// stand here so that a measurement can vary them.
 struct placement_policy
 {
     /// `prefer: balance` takes the least loaded of this many rendezvous
--- a/libraries/placement/report_spreader.cpp
+++ b/libraries/placement/report_spreader.cpp
@@ -12,9 +12,9 @@
 
 /// How many other VMs hear of a piece of news from this one.
 constexpr std::size_t spread_fanout = 2;
-/// Reports in one listing, about 20 bytes each. One listing goes to each of
-/// two peers every 100 ms at most: with a few hundred upstreams loads get
-/// older before they arrive, but control traffic stays within its kilobytes.
+/// Reports in one listing. One goes to each of two peers each tick at most:
+/// with many upstreams loads get older before they arrive, but control traffic
+/// stays within its bound.
 constexpr std::size_t maximum_reports = 8;
 
 } // namespace
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -21,8 +21,8 @@
     return hash_pair(own, hash_text(part));
 }
 
-/// Nobody owns a flow whose packets carry tags: the usual slots would be
-/// 1.8 MB, filled at the start, that are never read.
+/// Nobody owns a flow whose packets carry tags: the usual slots would be filled
+/// at the start and never be read.
 std::size_t count_slots(reducer_settings const& settings)
 {
     return settings.memory == flow_memory::tags
@@ -336,10 +336,8 @@
         seeds.push_back({seed, failure_domain_id()});
     }
     this->versions.set_peers(now, seeds);
-    // Peers and the platform are asked as the process starts. With the first
-    // tick, a tenth of a second later, a VM passed its first packet 190 ms
-    // after its start, and 65 ms like this, on a twentieth of a core: after a
-    // loss of all VMs all callers wait so much less.
+    // Peers and the platform are asked as the process starts and not with the
+    // first tick: after a loss of all VMs all callers wait for the answers.
     this->versions.tick(now, out);
 }
 
--- a/libraries/registry/registry.cpp
+++ b/libraries/registry/registry.cpp
@@ -17,8 +17,8 @@
 namespace
 {
 
-/// A listing of 12,000 upstreams takes 84,000 words; twelve times that. Packing
-/// shrinks runs of zeros, so a short text could otherwise claim gigabytes.
+/// Many times the largest listing. Packing shrinks runs of zeros, so a short
+/// text could otherwise claim gigabytes.
 constexpr std::uint64_t traversal_words = std::uint64_t{1} << 20;
 
 /// What a text says that it is. Cap'n Proto takes a text without words for a
--- a/libraries/runtime/connection_checker.cpp
+++ b/libraries/runtime/connection_checker.cpp
@@ -15,11 +15,10 @@
 {
 
 /// Several at once: on links that lose packets a single one may vanish, and
-/// the kernel sends it again only after a second. Where 3 % are lost each way,
-/// all four are lost in one check of 80,000.
+/// the kernel sends it again only after a second.
 constexpr std::size_t connections_to_suspect = 4;
 
-/// Their sockets, with witnesses, stay within 300 of a VM's descriptors.
+/// Bounds the descriptors that they and their witnesses take.
 constexpr std::size_t maximum_checks = 32;
 
 /// Does not wait; an invalid descriptor when no socket can be had.
--- a/libraries/runtime/packet_thread.cpp
+++ b/libraries/runtime/packet_thread.cpp
@@ -23,8 +23,7 @@
 constexpr auto late_deadline = std::chrono::milliseconds(2);
 
 /// A VM that knows no registry by then takes callers' packets all the same, and
-/// drops them. A start takes 150 ms on a twentieth of a core; the callers'
-/// copies come after 200 and 600 ms, and a socket has room for a second.
+/// drops them: their callers have sent copies since, and sockets are full.
 constexpr auto longest_start = std::chrono::milliseconds(600);
 
 /// Bounds the work before a late deadline: a flood must not put it off.
--- a/libraries/settings/settings.hpp
+++ b/libraries/settings/settings.hpp
@@ -93,8 +93,8 @@
     std::string level = "info";
     /// Lines beyond this are counted, not written.
     std::uint32_t lines_per_second = 50;
-    /// Of so many new flows a second each step is logged. A line takes a small
-    /// VM 30 microseconds; what goes wrong is logged of all flows.
+    /// Of so many new flows a second each step is logged, as lines cost a small
+    /// VM processor time; what goes wrong is logged of all flows.
     std::uint32_t flows_per_second = 5;
 };
 
--- a/libraries/tagging/connection_trial.cpp
+++ b/libraries/tagging/connection_trial.cpp
@@ -10,7 +10,7 @@
 
 using std::chrono_literals::operator""ms;
 
-/// Above a round trip between regions (16 ms at the target) by a wide margin.
+/// Above a round trip between regions by a wide margin.
 constexpr duration answer_timeout = 100ms;
 
 /// A suspect gets this long after a look that showed a witness's answer: the
--- a/libraries/tagging/opening_returns.hpp
+++ b/libraries/tagging/opening_returns.hpp
@@ -44,8 +44,7 @@
     /// stranger to each of them.
     static constexpr std::int32_t weight_of_stranger = 2;
     /// Confirmations in a row, without a stranger, after which openings are
-    /// offered again: half a second's flows of a small VM. By chance so many
-    /// come less than once in 10,000 flows where VMs are chosen for each
+    /// offered again: more than come by chance where VMs are chosen for each
     /// packet.
     static constexpr std::int32_t needed = 16;
     /// Strangers that a VM takes, twice their weight, before it offers nothing
--- a/libraries/tagging/queue_delay_control.cpp
+++ b/libraries/tagging/queue_delay_control.cpp
@@ -10,7 +10,6 @@
 
 using std::chrono_literals::operator""ms;
 
-/// Three or more answers come in this time at a small VM under load.
 constexpr duration update_period = 50ms;
 
 /// With fewer, one slow request would pass for a queue.
@@ -20,27 +19,17 @@
 constexpr duration memory = 500ms;
 
 /// Part of the target latency that requests may wait and work, in the mean.
-/// Times spread: with a mean of little over half of it few are beyond the
-/// whole. Where upstreams shed what they cannot queue, the mean stands at two
-/// thirds in the worst overload: a reference of 0.65 refused nobody. With 0.5
-/// callers were refused in moderate bursts that end in time without it (.019
-/// of a day's worth less); with this none of those, and .05 to .11 more in
-/// heavy ones.
+/// Times spread: with a mean of little over half of the target few are beyond
+/// the whole of it.
 constexpr double reference = 0.56;
 
 /// What a delay of one target above the reference, and one that grew by one
-/// target, add to the share at each update. From none to most in a third of a
-/// second, which is how long upstreams' queues take to fill.
+/// target, add to the share at each update.
 constexpr double weight_of_excess = 0.2;
 constexpr double weight_of_growth = 0.4;
 
-/// Some are always let through: they show that the queue is gone. A caller that
-/// is refused tries twice more at once, so that of nine in ten a quarter would
-/// come through; of 98 in 100 it is one in seventeen. In a burst of 3.6 times
-/// the usual load, with the reference at a half, this more than doubled the
-/// requests served in time (514 to 1,108 and 448 to 1,475 of two windows of
-/// 3,393 and 3,159), with as many served in all; with 0.9, and 0.6 for the
-/// reference, they grew by a tenth.
+/// Some are always let through: they show that the queue is gone. Callers try
+/// again at once, so that few may be.
 constexpr double largest_share = 0.98;
 
 } // namespace
--- a/libraries/wire/authenticator.cpp
+++ b/libraries/wire/authenticator.cpp
@@ -100,8 +100,8 @@
         covered[kind_offset] == static_cast<std::uint8_t>(datagram_kind::frame);
     if (is_frame)
     {
-        // Frames carry callers' packets, so the tag is on the hot path: the
-        // 128-bit SipHash-2-4 took a third to a fifth of BLAKE2b's time.
+        // Frames carry callers' packets, so the tag is on the hot path, where
+        // SipHash is several times as fast as BLAKE2b.
         crypto_shorthash_siphashx24(
             result.data(), covered.data(), covered.size(), with.frame.data());
         return result;
--- a/services/cairnhead/text_file.cpp
+++ b/services/cairnhead/text_file.cpp
@@ -31,8 +31,8 @@
         throw unreadable_file(path);
     constexpr std::size_t most = maximum_document_bytes + 1;
     std::string text;
-    // In parts: room for the largest text, filled with zeros for a settings
-    // file of a few hundred bytes, took a tenth of the daemon's start.
+    // In parts: room for the largest text would be filled with zeros at each
+    // start, for a settings file of a few hundred bytes.
     std::array<char, 4096> part;
     while (text.size() < most && file)
     {
