--- a/emulator/emulated_fleet.cpp
+++ b/emulator/emulated_fleet.cpp
@@ -574,6 +574,9 @@
 {
     node& watching = *this->nodes[vm];
     watching.watch_deadline = this->time.now() + wanted.wait;
+    // The platform's history is taken to be long enough for all who go on.
+    if (wanted.known && wanted.known->routes && wanted.known->upstreams)
+        watching.has_read_platform = true;
     duration const delay =
         watching.has_read_platform ? call_period : duration{};
     this->schedule_for(
@@ -612,7 +615,11 @@
     node& reading = *this->nodes[vm];
     if (!reading.watch_deadline)
         return;
-    this->apply(vm, platform_answered{});
+    auto const& told = reading.told;
+    this->apply(
+        vm, platform_answered{
+                platform_index(std::max(told[0], told[1]).value()), told[0],
+                told[1]});
     platform_listed listed;
     bool has_news = false;
     std::uint64_t highest = 0;
--- a/libraries/control/document_client.cpp
+++ b/libraries/control/document_client.cpp
@@ -1,10 +1,11 @@
 #include <control/control_source.hpp>
 #include <control/document_client.hpp>
 #include <control/document_seal.hpp>
-#include <control/rpc_channel.hpp>
+#include <control/shared_channel.hpp>
 #include <loop/kj_thread.hpp>
 
 #include <control.capnp.h>
+#include <map>
 #include <sodium.h>
 #include <utility>
 
@@ -116,17 +117,20 @@
 }
 
 kj::Promise<document_result> ask_over(
-    kj::Own<kj::AsyncIoStream> stream,
+    kj::Own<shared_channel> channel,
     authenticator const& keys,
     pending_fetch const& fetch)
 {
-    auto channel = kj::heap<rpc_channel>(kj::mv(stream), limits);
-    auto request = channel->bootstrap().castAs<Documents>().fetchRequest();
-    write_request(keys, fetch, request);
-    auto answer = request.send().then(
-        [&keys, &fetch](auto&& response)
+    auto answer = channel->bootstrap().then(
+        [&keys, &fetch](capnp::Capability::Client&& served)
         {
-            return check_answer(keys, fetch, response);
+            auto request = served.castAs<Documents>().fetchRequest();
+            write_request(keys, fetch, request);
+            return request.send().then(
+                [&keys, &fetch](auto&& response)
+                {
+                    return check_answer(keys, fetch, response);
+                });
         });
     return answer.attach(kj::mv(channel));
 }
@@ -138,24 +142,40 @@
     document_client_options options;
     authenticator const& keys;
     on_result finished;
+    /// Those that are open. The client's thread alone uses it.
+    std::map<vm_id, shared_channel*> channels;
 
     /// Runs on the client's thread.
     void start(kj_loop& loop, fetch_document wanted);
     [[nodiscard]] kj::Promise<document_result>
-    ask(kj_loop& loop, pending_fetch const& fetch) const;
+    ask(kj_loop& loop, pending_fetch const& fetch);
+    [[nodiscard]] kj::Own<shared_channel> channel_to(kj_loop& loop, vm_id peer);
 };
 
-kj::Promise<document_result> document_client::shared_state::ask(
-    kj_loop& loop, pending_fetch const& fetch) const
+kj::Own<shared_channel>
+document_client::shared_state::channel_to(kj_loop& loop, vm_id peer)
 {
-    auto const address = ipv4_address(fetch.wanted.source->value());
-    auto target = make_address(loop.network(), address, this->options.port);
-    auto connected = target->connect();
-    auto answer = connected.then(
-        [this, &fetch](kj::Own<kj::AsyncIoStream>&& stream)
+    auto const open = this->channels.find(peer);
+    if (open != this->channels.end())
+        return kj::addRef(*open->second);
+    auto target = make_address(
+        loop.network(), ipv4_address(peer.value()), this->options.port);
+    auto connecting = target->connect().attach(kj::mv(target));
+    auto channel = kj::refcounted<shared_channel>(
+        kj::mv(connecting), limits,
+        [this, peer]
         {
-            return ask_over(kj::mv(stream), this->keys, fetch);
+            this->channels.erase(peer);
         });
+    this->channels[peer] = channel.get();
+    return channel;
+}
+
+kj::Promise<document_result>
+document_client::shared_state::ask(kj_loop& loop, pending_fetch const& fetch)
+{
+    auto answer = ask_over(
+        this->channel_to(loop, *fetch.wanted.source), this->keys, fetch);
     auto& timer = loop.timer();
     auto const deadline =
         timer.now() + this->options.timeout.count() * kj::NANOSECONDS;
@@ -164,7 +184,7 @@
         {
             return fail(fetch.wanted, fetch_failure::timed_out);
         });
-    return answer.attach(kj::mv(target)).exclusiveJoin(kj::mv(late));
+    return answer.exclusiveJoin(kj::mv(late));
 }
 
 void document_client::shared_state::start(kj_loop& loop, fetch_document wanted)
@@ -217,7 +237,7 @@
     document_client_options options,
     authenticator const& keys,
     on_result finished)
-    : state(new shared_state{options, keys, std::move(finished)}),
+    : state(new shared_state{options, keys, std::move(finished), {}}),
       thread(std::make_unique<kj_thread>())
 {
 }
--- a/libraries/event/effect.hpp
+++ b/libraries/event/effect.hpp
@@ -5,6 +5,7 @@
 #include <model/service.hpp>
 #include <protocol/control_message.hpp>
 #include <protocol/peer_frame.hpp>
+#include <registry/registry_snapshot.hpp>
 #include <registry/tag.hpp>
 
 #include <cstdint>
@@ -147,6 +148,9 @@
 {
     platform_index after;
     duration wait{};
+    /// What is known from others: a reader can go on from there, and need not
+    /// read everything.
+    std::optional<registry_snapshot> known{};
 };
 
 /// Fetch a document; exactly one `document_fetched` or
@@ -186,6 +190,8 @@
 enum class report_kind : std::uint8_t
 {
     member_joined,
+    /// Members that a VM learned of as it joined or woke.
+    members_listed,
     member_suspected,
     member_died,
     member_left,
--- a/libraries/event/event.hpp
+++ b/libraries/event/event.hpp
@@ -142,6 +142,11 @@
 /// The platform answered a call, whatever came of it; a watch may be many.
 struct platform_answered
 {
+    /// What had been read before this call, up to where, and which documents
+    /// came of it; zero where that is not told.
+    platform_index complete_up_to{};
+    document_version routes{};
+    document_version upstreams{};
 };
 
 /// A document's text arrived.
--- a/libraries/event/flow_decision.hpp
+++ b/libraries/event/flow_decision.hpp
@@ -67,6 +67,8 @@
     held_by_pause,
     /// Requests of the pool wait so long that one more would be late.
     queue_too_long,
+    /// This VM has just started and does not have the whole registry.
+    registry_incomplete,
 };
 
 /// What this VM knew of the registry when it decided.
--- a/libraries/membership/membership.hpp
+++ b/libraries/membership/membership.hpp
@@ -263,6 +263,8 @@
     time_point next_probe_at;
     time_point next_absent_probe_at;
     time_point next_contact_probe_at;
+    /// Members that a listing has just told of.
+    std::size_t listed_members = 0;
     /// Parts of listings that may be sent now.
     std::size_t listing_parts = 0;
     time_point next_exchange_at;
--- a/libraries/membership/membership_abroad.cpp
+++ b/libraries/membership/membership_abroad.cpp
@@ -18,6 +18,11 @@
 /// Members that a VM told of, and that are asked for more.
 constexpr std::size_t asked_members = 2;
 
+/// Members that a joiner greets besides. In a small failure domain all know of
+/// it at once: one that was told to stop waits until the one before it is back,
+/// and would wait in vain until someone pings the right one.
+constexpr std::size_t greeted_members = 4;
+
 /// VMs of the own domain that each message to another one tells of.
 constexpr std::size_t introduced_members = 2;
 
@@ -138,14 +143,15 @@
         if (is_of_use)
             candidates.push_back(claim.vm);
     }
-    for (std::size_t asked = 0; asked < asked_members && !candidates.empty();
-         ++asked)
-    {
-        auto const chosen = random_below(candidates.size(), this->random);
-        this->send_listing_request(candidates[chosen], effects);
-        candidates.erase(
-            candidates.begin() + static_cast<std::ptrdiff_t>(chosen));
-    }
+    std::ranges::shuffle(candidates, this->random);
+    std::span<vm_id const> left(candidates);
+    auto const asked = left.first(std::min(left.size(), asked_members));
+    for (vm_id const member : asked)
+        this->send_listing_request(member, effects);
+    left = left.subspan(asked.size());
+    for (vm_id const member :
+         left.first(std::min(left.size(), greeted_members)))
+        this->send_ping(member, effects);
 }
 
 } // namespace cairnhead
--- a/libraries/membership/membership_claims.cpp
+++ b/libraries/membership/membership_claims.cpp
@@ -1,6 +1,8 @@
 #include <base/ipv4.hpp>
 #include <membership/membership.hpp>
 
+#include <utility>
+
 namespace cairnhead
 {
 
@@ -12,10 +14,20 @@
     return {kind, format_ipv4(ipv4_address(vm.value())), {}};
 }
 
+/// Whether a member's coming is told of by itself.
+enum class arrival_report : std::uint8_t
+{
+    each,
+    /// A VM that joins learns of all at once: a line for each would take a
+    /// small VM longer than all else that it does as it starts.
+    none,
+};
+
 /// Tells operators what a claim changed; a dead VM counts as absent.
 void report_change(
     std::optional<member_status> before,
     member_update const& claim,
+    arrival_report arrivals,
     effect_list& effects)
 {
     bool const was_live = before && is_live_status(*before);
@@ -30,7 +42,7 @@
         effects.push_back(make_report(kind, claim.vm));
         return;
     }
-    if (!was_live)
+    if (!was_live && arrivals == arrival_report::each)
         effects.push_back(make_report(report_kind::member_joined, claim.vm));
     if (claim.status == member_status::suspect &&
         before != member_status::suspect)
@@ -52,6 +64,13 @@
 {
     for (member_update const& claim : claims)
         this->apply(now, claim, source, effects);
+    auto const listed = std::exchange(this->listed_members, 0);
+    if (listed > 0)
+        effects.push_back(report{
+            report_kind::members_listed,
+            {},
+            {},
+            {{"count", std::to_string(listed)}}});
 }
 
 void membership::apply(
@@ -102,7 +121,11 @@
         before = known->status;
     bool const was_live = before && is_live_status(*before);
     this->store(now, claim);
-    report_change(before, claim, effects);
+    bool const is_listed = source != claim_source::gossip;
+    report_change(
+        before, claim, is_listed ? arrival_report::none : arrival_report::each,
+        effects);
+    this->listed_members += is_listed && !was_live ? 1 : 0;
     if (!was_live && is_live_status(claim.status))
         this->rotation.add(claim.vm, this->random);
     // What a listing tells a VM that joins or wakes is no news to the rest.
--- a/libraries/observability/effect_text.hpp
+++ b/libraries/observability/effect_text.hpp
@@ -108,6 +108,8 @@
     {
     case report_kind::member_joined:
         return "member_joined";
+    case report_kind::members_listed:
+        return "members_listed";
     case report_kind::member_suspected:
         return "member_suspected";
     case report_kind::member_died:
@@ -227,6 +229,8 @@
         return "held_by_pause";
     case flow_rule::queue_too_long:
         return "queue_too_long";
+    case flow_rule::registry_incomplete:
+        return "registry_incomplete";
     }
     return {};
 }
--- a/libraries/observability/flow_metrics.cpp
+++ b/libraries/observability/flow_metrics.cpp
@@ -103,11 +103,15 @@
         .Observe(to_seconds(took));
 }
 
-void flow_metrics::observe_call(call_outcome outcome, duration took)
+void flow_metrics::observe_call(
+    call_outcome outcome, platform_call_reason reason, duration took)
 {
     char const* const label =
         outcome == call_outcome::answered ? "answered" : "failed";
-    this->calls.Add({{"outcome", label}}, call_bounds)
+    this->calls
+        .Add(
+            {{"outcome", label}, {"reason", std::string(to_text(reason))}},
+            call_bounds)
         .Observe(to_seconds(took));
 }
 
--- a/libraries/observability/flow_metrics.hpp
+++ b/libraries/observability/flow_metrics.hpp
@@ -2,6 +2,7 @@
 
 #include <event/event.hpp>
 #include <event/flow_decision.hpp>
+#include <event/platform_called.hpp>
 #include <observability/effect_text.hpp>
 
 #include <absl/container/flat_hash_map.h>
@@ -64,7 +65,8 @@
     void observe_check(connection_outcome outcome, duration took);
 
     /// A call to the platform took that long. No precondition.
-    void observe_call(call_outcome outcome, duration took);
+    void observe_call(
+        call_outcome outcome, platform_call_reason reason, duration took);
 
     /// An entry of the registry names no upstream. No precondition.
     void count_rejected_entry();
--- a/libraries/protocol/control_message.hpp
+++ b/libraries/protocol/control_message.hpp
@@ -79,6 +79,9 @@
 {
     listing_kind kind = listing_kind::request;
     std::vector<document_stamp> documents;
+    /// These documents show all that the platform published up to here; zero
+    /// where the sender does not know.
+    platform_index complete_up_to{};
 
     bool operator==(document_listing const&) const = default;
 };
@@ -110,10 +113,36 @@
 struct reading_heartbeat
 {
     std::uint64_t documents_digest = 0;
+    /// These documents show all that the platform published up to here; zero
+    /// where the sender does not know.
+    platform_index complete_up_to{};
 
     bool operator==(reading_heartbeat const&) const = default;
 };
 
+/// A VM without documents asks where to get them.
+struct join_request
+{
+    failure_domain_id domain;
+    /// Another VM sent the joiner here: it waits here for its turn.
+    bool is_referred = false;
+    /// How often it asked before.
+    std::uint32_t attempt = 0;
+
+    bool operator==(join_request const&) const = default;
+};
+
+/// Whom a joiner is to ask instead.
+struct join_referral
+{
+    std::vector<vm_id> holders;
+    /// Nobody of its failure domain is known who has the documents: it is to
+    /// read the platform, and others are sent to it.
+    bool is_to_read = false;
+
+    bool operator==(join_referral const&) const = default;
+};
+
 /// Pins of idle flows, copied to where they now belong.
 struct pin_batch
 {
@@ -163,7 +192,9 @@
     pin_batch,
     upstream_report_listing,
     registry_change,
-    reading_heartbeat>;
+    reading_heartbeat,
+    join_request,
+    join_referral>;
 
 struct control_message
 {
--- a/libraries/reducer/leave_turn.cpp
+++ b/libraries/reducer/leave_turn.cpp
@@ -8,11 +8,6 @@
 namespace
 {
 
-/// What a VM that came back takes to know the registry. The fabric's next
-/// question then finds it ready, half a second later at most; and it gives up
-/// one that goes no earlier than half a second after its last ready answer.
-constexpr duration time_until_used = 250ms;
-
 /// A VM that died may be started again; fabrics count it as one of its domain
 /// meanwhile. After this it was taken away.
 constexpr duration time_until_given_up = 10s;
@@ -39,7 +34,6 @@
         if (known.id < self.id)
             ++this->place;
     }
-    this->is_first_look = false;
     absl::erase_if(
         this->neighbours,
         [now](auto const& entry)
@@ -54,24 +48,17 @@
     // It was given up, or died before this VM joined.
     if (is_dead && !this->neighbours.contains(known.id))
         return;
-    auto const [entry, is_new] = this->neighbours.try_emplace(known.id);
-    neighbour& each = entry->second;
-    bool const was_away = is_new || each.status == member_status::leaving ||
-                          each.status == member_status::dead;
-    bool const is_back = known.status == member_status::alive &&
-                         (was_away || each.life < known.life);
-    // Whoever is there when this VM joins has been there before.
-    if (is_back && !this->is_first_look)
-        each.used_from = now + time_until_used;
+    neighbour& each = this->neighbours[known.id];
     if (is_dead && each.status != member_status::dead)
         each.expected_until = now + time_until_given_up;
-    each.life = known.life;
     each.status = known.status;
 }
 
-bool leave_turn::is_used(neighbour const& each, time_point now)
+bool leave_turn::is_used(neighbour const& each)
 {
-    return each.status == member_status::alive && now >= each.used_from;
+    // A VM joins with the registry in hand, so that the fabric's next question
+    // finds it ready; and it gives up one that goes only after that.
+    return each.status == member_status::alive;
 }
 
 bool leave_turn::is_given_up(neighbour const& each, time_point now)
@@ -87,7 +74,7 @@
         if (is_given_up(each, now))
             continue;
         ++counted.all;
-        if (is_used(each, now))
+        if (is_used(each))
             ++counted.used;
         else if (each.status != member_status::leaving)
             ++counted.down;
--- a/libraries/reducer/leave_turn.hpp
+++ b/libraries/reducer/leave_turn.hpp
@@ -65,24 +65,20 @@
     /// Another VM of the own failure domain.
     struct neighbour
     {
-        incarnation life;
         member_status status = member_status::alive;
-        /// From when on the fabric uses it, if it is alive.
-        time_point used_from;
         /// If it is dead: until when it is expected back.
         time_point expected_until;
     };
 
     void note(time_point now, member const& known);
     void look(time_point now);
-    [[nodiscard]] static bool is_used(neighbour const& each, time_point now);
+    [[nodiscard]] static bool is_used(neighbour const& each);
     [[nodiscard]] static bool
     is_given_up(neighbour const& each, time_point now);
 
     absl::flat_hash_map<vm_id, neighbour> neighbours;
     /// How many of them have a smaller id.
     std::size_t place = 0;
-    bool is_first_look = true;
     bool has_asked = false;
     /// When the turn comes, while enough others are used.
     std::optional<time_point> earliest_at;
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -326,6 +326,7 @@
 
 void reducer::handle(time_point now, started const& body, effect_list& out)
 {
+    this->started_at = now;
     this->first_life = first_incarnation(body.wall_clock_milliseconds);
     std::vector<document_peer> seeds;
     for (vm_id const seed : this->settings.seeds)
@@ -338,7 +339,11 @@
     this->versions.set_peers(now, seeds);
     // Peers and the platform are asked as the process starts and not with the
     // first tick: after a loss of all VMs all callers wait for the answers.
-    this->versions.tick(now, out);
+    auto const& asked = this->settings.seeds;
+    bool const is_seed =
+        seeds.empty() ||
+        std::ranges::find(asked, this->settings.self.id) != asked.end();
+    this->versions.start(now, is_seed, out);
 }
 
 void reducer::handle(time_point now, leave_requested const&, effect_list& out)
@@ -489,6 +494,21 @@
     this->versions.receive(now, sender, message, out);
 }
 
+void reducer::receive(
+    time_point now, vm_id sender, join_request const& message, effect_list& out)
+{
+    this->versions.receive(now, sender, message, out);
+}
+
+void reducer::receive(
+    time_point now,
+    vm_id sender,
+    join_referral const& message,
+    effect_list& out)
+{
+    this->versions.receive(now, sender, message, out);
+}
+
 void reducer::receive(
     time_point now, vm_id, pin_batch const& message, effect_list&)
 {
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -118,6 +118,16 @@
         vm_id sender,
         reading_heartbeat const& message,
         effect_list& out);
+    void receive(
+        time_point now,
+        vm_id sender,
+        join_request const& message,
+        effect_list& out);
+    void receive(
+        time_point now,
+        vm_id sender,
+        join_referral const& message,
+        effect_list& out);
     void receive(
         time_point now,
         vm_id sender,
@@ -172,6 +182,9 @@
     /// An event that comes after this shows that the process was paused.
     time_point lease_ends_at;
     incarnation first_life;
+    time_point started_at;
+    /// When it had all documents.
+    std::optional<time_point> caught_up_at;
     placing_permission current_permission = placing_permission::joining;
     bool has_joined = false;
 };
--- a/libraries/reducer/reducer_refresh.cpp
+++ b/libraries/reducer/reducer_refresh.cpp
@@ -46,6 +46,17 @@
     // place openings by declarations that the others have already left.
     if (this->has_joined || !this->versions.is_caught_up(now))
         return;
+    if (!this->caught_up_at)
+        this->caught_up_at = now;
+    // With tags a VM passes packets before it joins. Where all start at once,
+    // documents take long, callers have waited for them, and all would join
+    // in the moment in which those come: seen as requests that are late by as
+    // much again. Who got them soon joins soon.
+    auto const took = *this->caught_up_at - this->started_at;
+    bool const may_wait = this->is_tagged() && this->versions.routes() &&
+                          this->versions.upstreams();
+    if (may_wait && now < *this->caught_up_at + took)
+        return;
     this->has_joined = true;
     this->lease_ends_at = now + this->settings.membership.lease;
     this->members.start(now, this->first_life, out);
--- a/libraries/runtime/inbox.hpp
+++ b/libraries/runtime/inbox.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <event/event.hpp>
+#include <event/platform_called.hpp>
 #include <reducer/reducer_view.hpp>
 #include <runtime/daemon_view.hpp>
 #include <runtime/event_descriptor.hpp>
@@ -49,13 +50,6 @@
     std::function<void(std::optional<held_document> const&)> answer;
 };
 
-/// A call to the platform ended.
-struct platform_called
-{
-    duration took{};
-    bool was_answered = false;
-};
-
 /// An entry of the registry names no upstream, as it cannot be read.
 struct registry_entry_rejected
 {
--- a/libraries/runtime/packet_thread.cpp
+++ b/libraries/runtime/packet_thread.cpp
@@ -256,9 +256,10 @@
 {
     this->flow_counts.observe_call(
         called.was_answered ? call_outcome::answered : call_outcome::failed,
-        called.took);
+        called.reason, called.took);
     if (called.was_answered)
-        this->driver.apply(platform_answered{});
+        this->driver.apply(platform_answered{
+            called.complete_up_to, called.routes, called.upstreams});
 }
 
 void packet_thread::take(registry_entry_rejected& rejected)
--- a/libraries/runtime/remote_calls.cpp
+++ b/libraries/runtime/remote_calls.cpp
@@ -32,6 +32,16 @@
     };
 }
 
+void start_watch(platform_client& client, watch_platform const& wanted)
+{
+    client.watch(wanted.after, wanted.wait);
+}
+
+void start_watch(metadata_store_client& client, watch_platform const& wanted)
+{
+    client.watch(wanted.after, wanted.wait, wanted.known);
+}
+
 document_client::on_result post_documents(inbox& results)
 {
     return [&results](document_result result)
@@ -74,9 +84,9 @@
     case platform_protocol::metadata_store:
         return std::make_unique<metadata_store_client>(
             url, post_platform_events(results),
-            [&results](duration took, bool was_answered)
+            [&results](platform_called const& called)
             {
-                results.post(platform_called{took, was_answered});
+                results.post(called);
             },
             [&results](rejected_entry const& entry)
             {
@@ -92,7 +102,7 @@
     std::visit(
         [&wanted](auto const& client)
         {
-            client->watch(wanted.after, wanted.wait);
+            start_watch(*client, wanted);
         },
         this->platform);
 }
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -92,6 +92,13 @@
     time_point now, packet_arrived const& packet, effect_list& effects)
 {
     this->pauses.note(now);
+    // With routes alone each opening would be refused for want of upstreams,
+    // though other VMs could place it: seen as resets by VMs that start where
+    // all were down. The caller's copy comes to one that knows more.
+    if (!this->is_informed())
+        return this->drop(
+            packet, drop_reason::not_ready, flow_rule::registry_incomplete,
+            effects);
     bool const is_opening = packet.phase == packet_phase::opening ||
                             packet.phase == packet_phase::opening_with_data;
     if (is_opening)
--- /dev/null
+++ b/libraries/versions/joining.cpp
@@ -0,0 +1,92 @@
+#include <versions/joining.hpp>
+
+#include <random>
+#include <utility>
+
+namespace cairnhead
+{
+
+namespace
+{
+
+/// Who heard nothing asks again so soon: where all VMs start at once, those
+/// that all ask may be there a little later than the others.
+constexpr duration unanswered_patience = std::chrono::milliseconds(90);
+
+/// Who was sent to others and not served asks again after this: long enough for
+/// a few VMs to hand documents on to each other.
+constexpr duration patience = std::chrono::milliseconds(400);
+
+/// A seed that hears from nobody may be the first of all.
+constexpr duration seed_patience = std::chrono::milliseconds(100);
+
+/// A VM that hears from nobody reads the platform after this, and one that was
+/// sent to others after the longer time. Both are drawn out at random: VMs that
+/// are cut off from those they know must not all read in one moment.
+constexpr duration silent_patience = std::chrono::milliseconds(800);
+constexpr duration referred_patience = std::chrono::milliseconds(1'500);
+
+/// Between the whole of it and twice as long.
+duration spread(duration length, version_random& random)
+{
+    std::uniform_int_distribution<duration::rep> more(0, length.count());
+    return length + duration(more(random));
+}
+
+} // namespace
+
+joining::joining(vm_identity const& own) : self(own)
+{
+}
+
+void joining::begin(time_point now, bool is_seed, version_random& random)
+{
+    this->has_begun = true;
+    this->read_at =
+        now + (is_seed ? seed_patience : spread(silent_patience, random));
+}
+
+bool joining::take_due(time_point now)
+{
+    if (now < this->next_ask_at)
+        return false;
+    this->next_ask_at = now + unanswered_patience;
+    if (std::exchange(this->is_referred, false))
+    {
+        this->asked.clear();
+        ++this->attempts;
+    }
+    return true;
+}
+
+join_request joining::request() const
+{
+    return {this->self.domain, false, this->attempts};
+}
+
+std::vector<vm_id> joining::follow(
+    time_point now, join_referral const& referral, version_random& random)
+{
+    bool const is_first = !std::exchange(this->was_referred, true);
+    this->is_referred = true;
+    this->next_ask_at = now + spread(patience, random);
+    if (referral.is_to_read)
+        this->read_at = std::min(this->read_at, now);
+    else if (is_first && now < this->read_at)
+        this->read_at = now + spread(referred_patience, random);
+    std::vector<vm_id> named;
+    for (vm_id const holder : referral.holders)
+    {
+        if (holder == this->self.id || !this->asked.insert(holder).second)
+            continue;
+        named.push_back(holder);
+    }
+    return named;
+}
+
+bool joining::is_to_read(time_point now) const
+{
+    return this->has_begun && now >= this->read_at;
+}
+
+} // namespace cairnhead
--- /dev/null
+++ b/libraries/versions/joining.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <event/settings.hpp>
+#include <protocol/control_message.hpp>
+#include <versions/backoff.hpp>
+
+#include <absl/container/flat_hash_set.h>
+#include <cstdint>
+#include <vector>
+
+namespace cairnhead
+{
+
+/// How a VM that has just started comes to documents: it asks the addresses
+/// that it knows, follows where they send it, and reads the platform only when
+/// it is told to or when nobody serves it.
+///
+/// Load that this answers: all VMs of a fleet start at once. If each read the
+/// platform by itself, as none knows of the others, a start of all would be as
+/// many complete reads as there are VMs.
+/// Thread safety of all methods: none.
+class joining
+{
+public:
+    explicit joining(vm_identity const& self);
+
+    /// The process started. A seed, which others ask first, reads the platform
+    /// soon; so does who knows nobody to ask. Precondition: called once.
+    void begin(time_point now, bool is_seed, version_random& random);
+
+    /// Whether the peers are to be asked now; counts as asked. No precondition.
+    [[nodiscard]] bool take_due(time_point now);
+
+    /// What to ask first, and whom it was referred to. No precondition.
+    [[nodiscard]] join_request request() const;
+
+    /// Whom to ask of those that were named: each once in an attempt. No
+    /// precondition.
+    [[nodiscard]] std::vector<vm_id> follow(
+        time_point now, join_referral const& referral, version_random& random);
+
+    /// Whether this VM is to read the platform though it knows no documents. No
+    /// precondition.
+    [[nodiscard]] bool is_to_read(time_point now) const;
+
+private:
+    vm_identity self;
+    absl::flat_hash_set<vm_id> asked;
+    /// How often it was sent to others in vain.
+    std::uint32_t attempts = 0;
+    time_point next_ask_at;
+    time_point read_at;
+    bool has_begun = false;
+    bool was_referred = false;
+    /// Since it asked last.
+    bool is_referred = false;
+};
+
+} // namespace cairnhead
--- a/libraries/versions/reader_succession.cpp
+++ b/libraries/versions/reader_succession.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+using std::chrono_literals::operator""s;
+
 /// Successors begin this far apart: a call to the platform, and telling of it,
 /// take less. The last of sixteen begins a second after the first.
 constexpr duration distance = 60ms;
@@ -18,12 +20,21 @@
 /// call; with sixteen and a call a second that is about one KB a second.
 constexpr std::size_t most_successors = 16;
 
+/// Of those who cannot succeed, so many are told each time: where most VMs died
+/// a moment ago, the tree that changes go down is broken, and nobody else would
+/// tell them of what they miss.
+constexpr std::size_t told_bystanders = 4;
+
+/// A VM that has just joined waits so many times as long to hear of a reader.
+constexpr int joining_patience = 2;
+
 /// Complete reads are many calls.
 constexpr duration telling_period = 500ms;
 
-/// A successor whose call failed leaves it to others for so long. A platform
-/// that is down for all gets one call of each successor in that time.
-constexpr duration pause_after_failure = 2s;
+/// Who failed leaves it to the others for so long each, so that a platform that
+/// is down for all gets about two calls a second, however many VMs wait for it.
+constexpr duration pause_for_each_other = 500ms;
+constexpr duration shortest_pause = 1s;
 
 } // namespace
 
@@ -57,11 +68,15 @@
             return this->is_ahead_of_self(vm);
         }));
     // All who may read hear of each other, or the last would read for ever.
-    auto const others = this->readers + most_successors - 1;
-    this->listeners.resize(std::min(this->listeners.size(), others));
-    // Readers need a while to be heard by a VM that has just joined.
+    auto const others =
+        std::min(this->listeners.size(), this->readers + most_successors - 1);
+    auto const after = this->listeners.begin() + static_cast<int>(others);
+    this->bystanders.assign(after, this->listeners.end());
+    this->listeners.resize(others);
+    // Readers need a while to learn of a VM that has just joined, and longer
+    // where all have.
     if (!this->has_peers)
-        this->due_at = now + this->patience;
+        this->due_at = now + this->patience * joining_patience;
     this->has_peers = !this->listeners.empty();
 }
 
@@ -71,30 +86,54 @@
         .is_above(reader_rank(this->self.domain, this->self.id));
 }
 
+bool reader_succession::is_off() const
+{
+    return this->patience == duration::zero();
+}
+
+void reader_succession::begin()
+{
+    this->is_acting = true;
+}
+
 void reader_succession::heard(time_point now, vm_id reader)
 {
-    this->due_at = std::max(this->due_at, now + this->patience);
+    this->due_at = std::max(now + this->patience, this->failed_until);
+    bool const is_ahead = this->is_ahead_of_self(reader);
     // Two may have begun before either heard of the other.
-    if (this->is_ahead_of_self(reader))
+    if (is_ahead && !this->is_elected())
         this->is_acting = false;
+    // One that has just joined goes on where the other is.
+    if (!is_ahead && this->is_elected() && now >= this->failed_until)
+        this->is_acting = true;
 }
 
-std::span<vm_id const> reader_succession::answered(time_point now)
+std::vector<vm_id> reader_succession::answered(time_point now)
 {
-    bool const is_off = this->patience == duration::zero();
-    bool const is_reader = this->is_elected() || this->is_successor(now);
     // Who reads only to catch up is no reader that others could rely on.
-    if (is_off || !is_reader || now < this->next_telling_at)
+    if (this->is_off() || !this->is_reading(now) || now < this->next_telling_at)
         return {};
-    this->is_acting = !this->is_elected();
+    this->is_acting = true;
     this->next_telling_at = now + telling_period;
-    return this->listeners;
+    std::vector<vm_id> told = this->listeners;
+    auto const count = std::min(this->bystanders.size(), told_bystanders);
+    for (std::size_t number = 0; number < count; ++number)
+        told.push_back(
+            this->bystanders[this->next_bystander++ % this->bystanders.size()]);
+    return told;
 }
 
 void reader_succession::failed(time_point now)
 {
     this->is_acting = false;
-    this->due_at = std::max(this->due_at, now + pause_after_failure);
+    this->failed_until = now + this->pause_after_failure();
+    this->due_at = std::max(this->due_at, this->failed_until);
+}
+
+duration reader_succession::pause_after_failure() const
+{
+    auto const others = static_cast<int>(this->listeners.size());
+    return std::max<duration>(pause_for_each_other * others, shortest_pause);
 }
 
 bool reader_succession::is_elected() const
@@ -102,15 +141,15 @@
     return this->rank < this->readers;
 }
 
-bool reader_succession::is_successor(time_point now) const
+bool reader_succession::is_reading(time_point now) const
 {
-    bool const is_off = this->patience == duration::zero();
-    bool const may_succeed =
-        !this->is_elected() && this->rank < this->readers + most_successors;
-    if (is_off || !may_succeed)
+    if (this->is_off())
+        return this->is_elected();
+    if (this->rank >= this->readers + most_successors)
         return false;
-    auto const before = static_cast<int>(this->rank - this->readers);
-    return this->is_acting || now >= this->due_at + distance * before;
+    auto const before = this->is_elected() ? 0 : this->rank - this->readers;
+    return this->is_acting ||
+           now >= this->due_at + distance * static_cast<int>(before);
 }
 
 } // namespace cairnhead
--- a/libraries/versions/registry_documents.cpp
+++ b/libraries/versions/registry_documents.cpp
@@ -45,17 +45,22 @@
     return {held, &held->listing};
 }
 
-template <typename Held>
+template <typename Document>
 std::shared_ptr<std::string const>
-make_text(Held const& held, document_version held_there)
+make_text(Document const& document, document_version held_there)
 {
-    if (held == nullptr)
+    if (document.held == nullptr)
         return nullptr;
+    auto const& whole = document.held->listing;
     auto const changed = held_there == document_version()
                              ? std::nullopt
-                             : changes_after(held->listing, held_there);
-    return std::make_shared<std::string const>(
-        encode_listing(changed ? *changed : held->listing));
+                             : changes_after(whole, held_there);
+    if (changed)
+        return std::make_shared<std::string const>(encode_listing(*changed));
+    if (document.whole_text == nullptr)
+        document.whole_text =
+            std::make_shared<std::string const>(encode_listing(whole));
+    return document.whole_text;
 }
 
 } // namespace
@@ -122,6 +127,7 @@
     std::string_view name,
     effect_list& effects)
 {
+    target.whole_text.reset();
     document_version const before = cairnhead::version_of(target.held);
     if (told.version <= before)
         return registry_outcome::refused;
@@ -157,8 +163,8 @@
     std::string_view name, document_version held_there) const
 {
     return name == route_document_name
-               ? make_text(this->route_document.held, held_there)
-               : make_text(this->upstream_document.held, held_there);
+               ? make_text(this->route_document, held_there)
+               : make_text(this->upstream_document, held_there);
 }
 
 std::vector<document_stamp> registry_documents::stamps() const
@@ -174,6 +180,14 @@
     return all;
 }
 
+registry_snapshot
+registry_documents::snapshot(platform_index complete_up_to) const
+{
+    return {
+        complete_up_to, this->route_document.held,
+        this->upstream_document.held};
+}
+
 std::shared_ptr<route_listing const> registry_documents::routes() const
 {
     return listing_of(this->route_document.held);
--- a/libraries/versions/registry_documents.hpp
+++ b/libraries/versions/registry_documents.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <event/effect.hpp>
-#include <registry/listing_difference.hpp>
+#include <registry/registry_snapshot.hpp>
 
 #include <memory>
 #include <optional>
@@ -52,6 +52,10 @@
     /// The names and versions of the documents held. No precondition.
     [[nodiscard]] std::vector<document_stamp> stamps() const;
 
+    /// Both documents, which show all up to there. No precondition.
+    [[nodiscard]] registry_snapshot
+    snapshot(platform_index complete_up_to) const;
+
     /// The documents in force, or nullptr. No precondition.
     [[nodiscard]] std::shared_ptr<route_listing const> routes() const;
     [[nodiscard]] std::shared_ptr<upstream_listing const> upstreams() const;
@@ -62,6 +66,9 @@
     {
         std::shared_ptr<versioned_listing<Listing> const> held;
         document_version refused;
+        /// The whole of what is held, once somebody asked for it: where many
+        /// VMs start, all ask for the same.
+        mutable std::shared_ptr<std::string const> whole_text;
     };
 
     template <typename Listing>
--- a/libraries/versions/version_store.cpp
+++ b/libraries/versions/version_store.cpp
@@ -17,9 +17,6 @@
 /// A joiner asks this many peers at once.
 constexpr std::size_t join_request_peers = 3;
 
-/// A joiner that got no answer asks again after this.
-constexpr duration join_request_period = 1s;
-
 /// Digests ride on every ping; two VMs that differ for longer (a document
 /// that cannot be read, a slow fetch) would send listings with each of them.
 constexpr duration listing_request_period = 2s;
@@ -35,7 +32,8 @@
     vm_identity const& own,
     std::uint64_t random_seed)
     : settings(chosen), self(own), random(random_seed), fetches(chosen),
-      watch(chosen), succession(chosen, own),
+      watch(chosen), succession(chosen, own), join(own),
+      joiners(chosen, own, random_seed + 1),
       in_force(std::make_shared<directory const>())
 {
 }
@@ -46,7 +44,12 @@
         return;
     this->join_deadline = now + this->settings.join_timeout;
     this->progress_deadline = now + this->settings.join_timeout;
-    this->next_join_request = now;
+}
+
+void version_store::start(time_point now, bool is_seed, effect_list& effects)
+{
+    this->join.begin(now, is_seed, this->random);
+    this->tick(now, effects);
 }
 
 void version_store::set_peers(
@@ -78,20 +81,29 @@
     auto const is_complete = this->fetches.empty() && this->is_caught_up(now);
     if (is_complete)
         this->progress_deadline = now + this->settings.join_timeout;
-    // Without a peer in its failure domain a VM is always elected.
-    this->is_reading = this->succession.is_elected() ||
-                       this->succession.is_successor(now) ||
-                       now >= this->progress_deadline;
+    bool const is_joining =
+        this->documents.empty() && this->settings.reader_patience != 0s;
+    if (!is_joining)
+    {
+        this->is_reading =
+            this->succession.is_reading(now) || now >= this->progress_deadline;
+        return;
+    }
+    bool const was_reading_before = this->is_reading;
+    this->is_reading = this->join.is_to_read(now);
+    if (this->is_reading && !was_reading_before)
+        this->succession.begin();
 }
 
 void version_store::report_reading(time_point now, effect_list& effects)
 {
     if (std::exchange(this->was_reading, this->is_reading) == this->is_reading)
         return;
-    auto const why = !this->is_reading                    ? "others_read"
-                     : this->succession.is_elected()      ? "elected"
-                     : this->succession.is_successor(now) ? "no_reader_heard"
-                                                          : "documents_missing";
+    auto const why = !this->is_reading                  ? "others_read"
+                     : this->documents.empty()          ? "joining"
+                     : this->succession.is_elected()    ? "elected"
+                     : this->succession.is_reading(now) ? "no_reader_heard"
+                                                        : "documents_missing";
     effects.push_back(report{
         this->is_reading ? report_kind::reading_started
                          : report_kind::reading_stopped,
@@ -112,32 +124,128 @@
     this->announce(effects);
     this->update_access(now);
     this->report_reading(now, effects);
+    auto const first = static_cast<std::ptrdiff_t>(effects.size());
     this->watch.tick(now, this->get_access(), this->random, effects);
+    for (effect& each : std::span(effects).subspan(first))
+    {
+        if (auto* const begun = std::get_if<watch_platform>(&each))
+            begun->known = this->make_snapshot();
+    }
     this->ask_peers_on_joining(now, effects);
+    this->serve_joiners(now, effects);
     this->start_fetches(now, effects);
 }
 
+std::optional<registry_snapshot> version_store::make_snapshot() const
+{
+    if (this->complete_up_to == platform_index())
+        return std::nullopt;
+    return this->documents.registry().snapshot(this->complete_up_to);
+}
+
 void version_store::ask_peers_on_joining(time_point now, effect_list& effects)
 {
-    auto const is_due = now >= this->next_join_request;
-    if (this->has_peer_answered || this->peers.empty() || !is_due)
+    if (this->has_peer_answered || this->peers.empty())
+        return;
+    if (!this->join.take_due(now))
         return;
-    this->next_join_request = now + join_request_period;
     std::vector<document_peer> asked;
     std::ranges::sample(
         this->peers, std::back_inserter(asked), join_request_peers,
         this->random);
     for (auto const& peer : asked)
-        this->send_listing(peer.id, listing_kind::request, effects);
+        this->ask_to_join(peer.id, this->join.request(), effects);
+}
+
+void version_store::ask_to_join(
+    vm_id peer, join_request const& request, effect_list& effects) const
+{
+    // Who has documents already asks only whether others have newer ones.
+    if (this->documents.empty())
+        effects.push_back(send_control{peer, request});
+    else
+        this->send_listing(peer, listing_kind::request, effects);
+}
+
+void version_store::serve_joiners(time_point now, effect_list& effects)
+{
+    // Of half of the documents a joiner would take for the whole.
+    if (this->documents.empty() || this->fetches.is_blocking())
+        return;
+    for (vm_id const joiner : this->joiners.take_due(now))
+        this->send_listing(joiner, listing_kind::answer, effects);
 }
 
 void version_store::send_listing(
     vm_id peer, listing_kind kind, effect_list& effects) const
 {
-    for (auto& part : split_listing(kind, this->documents.stamps()))
+    auto parts = split_listing(kind, this->documents.stamps());
+    if (parts.size() == 1)
+        parts.front().complete_up_to = this->complete_up_to;
+    for (auto& part : parts)
         effects.push_back(send_control{peer, std::move(part)});
 }
 
+void version_store::receive(
+    time_point now,
+    vm_id sender,
+    join_request const& message,
+    effect_list& effects)
+{
+    this->begin(now);
+    auto referral = this->joiners.ask(
+        now, sender, message, {this->peers, !this->documents.empty()});
+    if (referral)
+        effects.push_back(send_control{sender, std::move(*referral)});
+    this->serve_joiners(now, effects);
+}
+
+void version_store::receive(
+    time_point now, vm_id, join_referral const& message, effect_list& effects)
+{
+    this->begin(now);
+    if (this->has_peer_answered)
+        return;
+    join_request request = this->join.request();
+    request.is_referred = true;
+    for (vm_id const holder : this->join.follow(now, message, this->random))
+        this->ask_to_join(holder, request, effects);
+    this->tick(now, effects);
+}
+
+bool version_store::holds(document_stamp const& stamp) const
+{
+    return this->documents.version_of_text(stamp.name) >= stamp.version;
+}
+
+void version_store::note_complete(document_listing const& told)
+{
+    if (told.complete_up_to <= this->complete_up_to)
+        return;
+    this->awaited_for_completeness = told;
+    this->believe_complete();
+}
+
+void version_store::believe_complete()
+{
+    // Without all documents that the sender had, a change between its and ours
+    // would be taken for seen, and a reader that goes on from there would never
+    // learn of it.
+    if (!this->awaited_for_completeness)
+        return;
+    document_listing const& told = *this->awaited_for_completeness;
+    bool const holds_all = std::ranges::all_of(
+        told.documents,
+        [this](document_stamp const& stamp)
+        {
+            return this->holds(stamp);
+        });
+    if (!holds_all)
+        return;
+    this->complete_up_to = std::max(this->complete_up_to, told.complete_up_to);
+    this->awaited_for_completeness.reset();
+}
+
 void version_store::receive(
     time_point now, platform_listed const& event, effect_list& effects)
 {
@@ -193,12 +301,17 @@
 }
 
 void version_store::receive(
-    time_point now, platform_answered const&, effect_list& effects)
+    time_point now, platform_answered const& event, effect_list& effects)
 {
     this->begin(now);
+    this->note_complete(
+        {listing_kind::answer,
+         {{std::string(route_document_name), event.routes},
+          {std::string(upstream_document_name), event.upstreams}},
+         event.complete_up_to});
+    reading_heartbeat const told{this->digest(), this->complete_up_to};
     for (vm_id const listener : this->succession.answered(now))
-        effects.push_back(
-            send_control{listener, reading_heartbeat{this->digest()}});
+        effects.push_back(send_control{listener, told});
 }
 
 void version_store::receive(
@@ -214,7 +327,9 @@
     // What is new came to the reader a call ago. Where it is still missing, the
     // tree was broken: VMs that died lately are in it, and nobody knows.
     if (message.documents_digest != this->digest())
-        this->ask_for_listing(now, sender, effects);
+        return this->ask_for_listing(now, sender, effects);
+    this->complete_up_to =
+        std::max(this->complete_up_to, message.complete_up_to);
 }
 
 void version_store::receive(
@@ -233,6 +348,7 @@
             continue;
         this->fetches.note_peer(stamp.name, sender, stamp.version);
     }
+    this->note_complete(message);
     if (message.kind == listing_kind::request && !this->documents.empty())
         this->send_listing(sender, listing_kind::answer, effects);
     this->start_fetches(now, effects);
@@ -326,6 +442,8 @@
     // that takes in thousands of documents would compile after each.
     if (this->fetches.empty())
         this->settle(effects);
+    this->believe_complete();
+    this->serve_joiners(now, effects);
     return true;
 }
 
--- a/libraries/versions/version_store.hpp
+++ b/libraries/versions/version_store.hpp
@@ -8,6 +8,8 @@
 #include <versions/document_peer.hpp>
 #include <versions/document_table.hpp>
 #include <versions/fetch_queue.hpp>
+#include <versions/joiner_line.hpp>
+#include <versions/joining.hpp>
 #include <versions/platform_watch.hpp>
 #include <versions/reader_succession.hpp>
 #include <versions/relay_memory.hpp>
@@ -39,9 +41,10 @@
 /// changes, all documents are checked against it again; what it takes from an
 /// organisation is out of force at once, the rest stays.
 ///
-/// A VM that is no reader still reads the platform while it has no peer,
-/// while it has lacked a document for `join_timeout` without getting any, or
-/// while it hears of no reader: see `reader_succession`.
+/// A VM that is no reader still reads the platform while it hears of no reader
+/// (`reader_succession`), and while it has lacked a document for `join_timeout`
+/// without getting any. One that has just started gets its documents from VMs
+/// that others name to it (`joining`, `joiner_line`).
 /// Thread safety of all methods: none; one thread, the reducer's.
 class version_store
 {
@@ -53,6 +56,10 @@
         vm_identity const& own,
         std::uint64_t random_seed);
 
+    /// The process started; asks the peers set before. `is_seed`: others ask
+    /// this VM first, or it knows nobody to ask. Precondition: called once.
+    void start(time_point now, bool is_seed, effect_list& effects);
+
     /// Which peers are reachable now, without this VM. Decides whether this
     /// VM is a reader. What only other peers had is no longer waited for. No
     /// precondition.
@@ -98,6 +105,19 @@
         reading_heartbeat const& message,
         effect_list& effects);
 
+    /// Joining: a VM without documents asks, and is told whom to ask. No
+    /// precondition.
+    void receive(
+        time_point now,
+        vm_id sender,
+        join_request const& message,
+        effect_list& effects);
+    void receive(
+        time_point now,
+        vm_id sender,
+        join_referral const& message,
+        effect_list& effects);
+
     /// If the peer's digest differs from ours for a while, asks for its
     /// listing, at most once in a while for each peer. No precondition.
     void compare_digest(
@@ -157,6 +177,12 @@
 private:
     void begin(time_point now);
     void ask_peers_on_joining(time_point now, effect_list& effects);
+    void ask_to_join(
+        vm_id peer, join_request const& request, effect_list& effects) const;
+    void serve_joiners(time_point now, effect_list& effects);
+    void note_complete(document_listing const& told);
+    void believe_complete();
+    [[nodiscard]] bool holds(document_stamp const& stamp) const;
     void
     send_listing(vm_id peer, listing_kind kind, effect_list& effects) const;
     void ask_for_listing(time_point now, vm_id peer, effect_list& effects);
@@ -194,6 +220,7 @@
     void update_access(time_point now);
     void report_reading(time_point now, effect_list& effects);
     [[nodiscard]] platform_access get_access() const;
+    [[nodiscard]] std::optional<registry_snapshot> make_snapshot() const;
 
     version_settings settings;
     vm_identity self;
@@ -203,6 +230,8 @@
     fetch_queue fetches;
     platform_watch watch;
     reader_succession succession;
+    joining join;
+    joiner_line joiners;
     std::shared_ptr<directory const> in_force;
     std::uint64_t in_force_generation = 0;
     /// Names of texts that arrived and were not announced yet.
@@ -212,7 +241,6 @@
     absl::flat_hash_map<vm_id, time_point> next_requests;
     /// Set by the first event.
     std::optional<time_point> join_deadline;
-    time_point next_join_request;
     /// Lacking documents beyond this, the VM reads the platform itself.
     time_point progress_deadline;
     /// When what is held here changed last, and since when peers' digests
@@ -220,6 +248,10 @@
     time_point changed_at;
     std::optional<time_point> differing_since;
     time_point differing_until;
+    /// The registry held here shows all that the platform published up to this.
+    platform_index complete_up_to;
+    /// It will, once the documents that a peer told of with this are here.
+    std::optional<document_listing> awaited_for_completeness;
     bool is_reading = false;
     /// What operators were told last.
     bool was_reading = false;
--- a/libraries/versions/version_store_relay.cpp
+++ b/libraries/versions/version_store_relay.cpp
@@ -81,9 +81,10 @@
     bool const is_news_here =
         held > held_before && !this->is_from_own_domain(source);
     // What a VM learns as it joins is news to nobody else: if each told, a
-    // start of all VMs would have each of them tell all others.
+    // start of all VMs would have each of them tell all others. But a first
+    // document that the platform publishes comes to its readers alone.
     bool const has_joined = held_before != document_version();
-    if (is_news_here && (has_joined || this->succession.is_elected()))
+    if (is_news_here && (has_joined || this->is_reading))
         this->originate(document, held_before, effects);
 }
 
--- a/libraries/wire/control_codec.cpp
+++ b/libraries/wire/control_codec.cpp
@@ -120,6 +120,7 @@
         auto part = this->to.initDocumentListing();
         part.setKind(static_cast<peer_schema::ListingKind>(body.kind));
         write_list(body.documents, part.initDocuments(size_of(body.documents)));
+        part.setCompleteUpTo(body.complete_up_to.value());
     }
 
     void operator()(pin_batch const& body)
@@ -146,8 +147,27 @@
 
     void operator()(reading_heartbeat const& body)
     {
-        this->to.initReadingHeartbeat().setDocumentsDigest(
-            body.documents_digest);
+        auto part = this->to.initReadingHeartbeat();
+        part.setDocumentsDigest(body.documents_digest);
+        part.setCompleteUpTo(body.complete_up_to.value());
+    }
+
+    void operator()(join_request const& body)
+    {
+        auto part = this->to.initJoinRequest();
+        part.setDomain(body.domain.value());
+        part.setIsReferred(body.is_referred);
+        part.setAttempt(body.attempt);
+    }
+
+    void operator()(join_referral const& body)
+    {
+        auto part = this->to.initJoinReferral();
+        part.setIsToRead(body.is_to_read);
+        auto holders = part.initHolders(size_of(body.holders));
+        unsigned index = 0;
+        for (vm_id const holder : body.holders)
+            holders.set(index++, holder.value());
     }
 
 private:
@@ -269,7 +289,33 @@
 {
     return {
         .kind = read(from.getKind()),
-        .documents = read_list<document_stamp>(from.getDocuments())};
+        .documents = read_list<document_stamp>(from.getDocuments()),
+        .complete_up_to = platform_index(from.getCompleteUpTo())};
+}
+
+reading_heartbeat read(peer_schema::ReadingHeartbeat::Reader from)
+{
+    return {
+        .documents_digest = from.getDocumentsDigest(),
+        .complete_up_to = platform_index(from.getCompleteUpTo())};
+}
+
+join_request read(peer_schema::JoinRequest::Reader from)
+{
+    return {
+        .domain = failure_domain_id(from.getDomain()),
+        .is_referred = from.getIsReferred(),
+        .attempt = from.getAttempt()};
+}
+
+join_referral read(peer_schema::JoinReferral::Reader from)
+{
+    if (from.getHolders().size() > maximum_entries)
+        throw malformed_datagram(malformed_reason::too_large);
+    join_referral referral{.holders = {}, .is_to_read = from.getIsToRead()};
+    for (std::uint32_t const holder : from.getHolders())
+        referral.holders.push_back(vm_id(holder));
+    return referral;
 }
 
 registry_change read(peer_schema::RegistryChange::Reader from)
@@ -306,8 +352,11 @@
     case kind::REGISTRY_CHANGE:
         return read(from.getRegistryChange());
     case kind::READING_HEARTBEAT:
-        return reading_heartbeat{
-            from.getReadingHeartbeat().getDocumentsDigest()};
+        return read(from.getReadingHeartbeat());
+    case kind::JOIN_REQUEST:
+        return read(from.getJoinRequest());
+    case kind::JOIN_REFERRAL:
+        return read(from.getJoinReferral());
     }
     throw malformed_datagram(malformed_reason::unknown_kind);
 }
--- a/libraries/wire/peer.capnp
+++ b/libraries/wire/peer.capnp
@@ -95,6 +95,7 @@
 struct DocumentListing {
   kind @0 :ListingKind;
   documents @1 :List(DocumentStamp);
+  completeUpTo @2 :UInt64;
 }
 
 enum RegistryDocument {
@@ -111,6 +112,18 @@
 
 struct ReadingHeartbeat {
   documentsDigest @0 :UInt64;
+  completeUpTo @1 :UInt64;
+}
+
+struct JoinRequest {
+  domain @0 :UInt32;
+  isReferred @1 :Bool;
+  attempt @2 :UInt32;
+}
+
+struct JoinReferral {
+  holders @0 :List(UInt32);
+  isToRead @1 :Bool;
 }
 
 struct ControlMessage {
@@ -127,6 +140,8 @@
     upstreamReports @7 :List(UpstreamReport);
     registryChange @8 :RegistryChange;
     readingHeartbeat @9 :ReadingHeartbeat;
+    joinRequest @10 :JoinRequest;
+    joinReferral @11 :JoinReferral;
   }
 }
 
--- a/tests/control/test_documents.cpp
+++ b/tests/control/test_documents.cpp
@@ -3,6 +3,9 @@
 #include <control/document_seal.hpp>
 
 #include <memory>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 // Last: its macro `Test` would change Abseil's headers.
 #include <criterion/criterion.h>
@@ -229,3 +232,106 @@
     client.fetch(wanted("association", 5));
     cr_expect_eq(text_of(told.get_future().get()), "timed_out");
 }
+
+namespace
+{
+
+/// Accepts connections and says nothing.
+class silent_listener
+{
+public:
+    silent_listener()
+        : descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(loopback.value());
+        auto* const raw = reinterpret_cast<sockaddr*>(&address);
+        cr_assert_eq(::bind(this->descriptor, raw, sizeof(address)), 0);
+        cr_assert_eq(::listen(this->descriptor, 16), 0);
+        socklen_t size = sizeof(address);
+        cr_assert_eq(::getsockname(this->descriptor, raw, &size), 0);
+        this->bound = ntohs(address.sin_port);
+    }
+
+    ~silent_listener()
+    {
+        ::close(this->descriptor);
+    }
+
+    silent_listener(silent_listener const&) = delete;
+    silent_listener& operator=(silent_listener const&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const
+    {
+        return this->bound;
+    }
+
+    /// How many connections came.
+    [[nodiscard]] int count_connections() const
+    {
+        int count = 0;
+        for (int accepted = 0;
+             (accepted = ::accept(this->descriptor, nullptr, nullptr)) >= 0;
+             ++count)
+            ::close(accepted);
+        return count;
+    }
+
+private:
+    int descriptor;
+    std::uint16_t bound = 0;
+};
+
+} // namespace
+
+// Symptom: the VMs that others join through have hundreds of connections, and
+// spend their processors on opening them. Sequence: a joiner fetches both of a
+// registry's documents from one peer. Cause: a connection for each.
+Test(documents, what_comes_from_one_peer_at_once_shares_a_connection)
+{
+    auto const keys = make_keys(fleet_secret);
+    silent_listener const peer;
+    std::promise<void> both;
+    int results = 0;
+    document_client client(
+        {.port = peer.port(), .timeout = std::chrono::milliseconds(50)}, keys,
+        [&](document_result const& result)
+        {
+            cr_expect_eq(text_of(result), "timed_out");
+            if (++results == 2)
+                both.set_value();
+        });
+    client.fetch(wanted("registry/routes", 1));
+    client.fetch(wanted("registry/upstreams", 1));
+    both.get_future().get();
+    cr_expect_eq(peer.count_connections(), 1);
+}
+
+// Symptom: a VM that failed once to fetch from a peer never can again. Cause: a
+// broken connection that is kept for the next fetch.
+Test(documents, a_connection_that_failed_is_not_used_again)
+{
+    auto const keys = make_keys(fleet_secret);
+    std::uint16_t port = 0;
+    {
+        silent_listener const reserved;
+        port = reserved.port();
+    }
+    std::promise<std::string> first;
+    std::promise<std::string> second;
+    std::promise<std::string>* next = &first;
+    document_client client(
+        {.port = port, .timeout = patience}, keys,
+        [&](document_result const& result)
+        {
+            next->set_value(text_of(result));
+        });
+    client.fetch(wanted("association", 5));
+    cr_expect_eq(first.get_future().get(), "unreachable");
+    next = &second;
+    rpc_server server;
+    server.serve_documents(loopback, port, holding(5, "text"), keys);
+    client.fetch(wanted("association", 5));
+    cr_expect_eq(second.get_future().get(), "text");
+}
--- a/tests/versions/fleet.cpp
+++ b/tests/versions/fleet.cpp
@@ -16,6 +16,9 @@
 /// A reader calls the platform once in this many ticks.
 constexpr std::size_t call_ticks = 10;
 
+/// The first VMs are those that others know.
+constexpr std::size_t seed_count = 3;
+
 } // namespace
 
 void fake_platform::publish(std::string const& name, std::string const& text)
@@ -40,6 +43,16 @@
     for (std::size_t vm = 0; vm < vms; ++vm)
         this->add_node();
     this->set_all_peers();
+    for (std::size_t vm = 0; vm < vms; ++vm)
+        this->start(vm);
+}
+
+void fleet::start(std::size_t vm)
+{
+    effect_list effects;
+    bool const is_seed = vm < seed_count;
+    this->nodes[vm].store.start(this->now, is_seed, effects);
+    this->carry_out(vm, effects);
 }
 
 void fleet::add_node()
@@ -60,6 +73,7 @@
 {
     this->add_node();
     this->set_all_peers();
+    this->start(this->nodes.size() - 1);
     return this->nodes.size() - 1;
 }
 
@@ -195,6 +209,10 @@
         return this->pass_on(from, to, *change);
     if (auto const* told = std::get_if<reading_heartbeat>(&message->body))
         return this->post(to, own.self.id, *told);
+    if (auto const* asked = std::get_if<join_request>(&message->body))
+        return this->post(to, own.self.id, *asked);
+    if (auto const* told = std::get_if<join_referral>(&message->body))
+        return this->post(to, own.self.id, *told);
     this->post(to, own.self.id, std::get<document_listing>(message->body));
 }
 
--- a/tests/versions/fleet.hpp
+++ b/tests/versions/fleet.hpp
@@ -114,6 +114,7 @@
     };
 
     void add_node();
+    void start(std::size_t vm);
     void set_all_peers();
     void compare_digests(std::size_t first, std::size_t second);
     void carry_out(std::size_t from, effect_list& effects);
