Versions: Name VMs that read the platform before the seeds were there

Cause: after a loss of all VMs the three that all ask are among the last to start, and everybody waits until they have read the platform. Ruled out: all VMs that hear nothing read at once, which grows with the fleet. Change: one VM in twenty that hears from nobody for a tenth of a second reads; whoever has documents tells the seeds so, and those name it.

--- a/libraries/protocol/control_message.hpp
+++ b/libraries/protocol/control_message.hpp
@@ -120,10 +120,14 @@
     bool operator==(reading_heartbeat const&) const = default;
 };
 
-/// A VM without documents asks where to get them.
+/// A VM that has just started asks where to get documents, or tells that it has
+/// some.
 struct join_request
 {
     failure_domain_id domain;
+    /// Others of its domain may be sent to it; it asks whether there are newer
+    /// ones.
+    bool has_documents = false;
     /// Another VM sent the joiner here: it waits here for its turn.
     bool is_referred = false;
     /// How often it asked before.
--- a/libraries/versions/joiner_line.cpp
+++ b/libraries/versions/joiner_line.cpp
@@ -26,6 +26,9 @@
 /// Bounds what a flood of requests can make this VM remember.
 constexpr std::size_t maximum_arrivals = 4'096;
 
+/// Of these each joiner of the domain is named two.
+constexpr std::size_t maximum_holders = 16;
+
 } // namespace
 
 joiner_line::joiner_line(
@@ -42,7 +45,8 @@
     join_request const& request,
     situation const& known)
 {
-    arrivals const& came = this->note_arrival(now, joiner, request.domain);
+    arrivals const& came = note_arrival(
+        now, joiner, this->recent[request.domain], maximum_arrivals);
     // Who was sent here is served here: it would be sent around otherwise. So
     // is who asks again: those that it was sent to may be gone.
     bool const is_asking_again = request.attempt > 0 && known.has_documents;
@@ -55,25 +59,32 @@
     }
     if (auto referral = this->refer_to_members(joiner, request.domain, known))
         return referral;
+    if (auto referral = this->refer_to_holders(now, joiner, request.domain))
+        return referral;
     return this->refer_by_arrival(joiner, request, came, known.has_documents);
 }
 
 joiner_line::arrivals& joiner_line::note_arrival(
-    time_point now, vm_id joiner, failure_domain_id domain)
+    time_point now, vm_id vm, arrivals& came, std::size_t most)
 {
-    arrivals& came = this->recent[domain];
     std::erase_if(
         came,
-        [now](recent_joiner const& each)
+        [now](arrival const& each)
         {
             return now > each.asked_at + arrival_memory;
         });
-    auto const known = std::ranges::find(came, joiner, &recent_joiner::vm);
-    if (known == came.end() && came.size() < maximum_arrivals)
-        came.push_back({joiner, now});
+    auto const known = std::ranges::find(came, vm, &arrival::vm);
+    if (known == came.end() && came.size() < most)
+        came.push_back({vm, now});
     return came;
 }
 
+void joiner_line::note_holder(
+    time_point now, vm_id holder, failure_domain_id domain)
+{
+    note_arrival(now, holder, this->holders[domain], maximum_holders);
+}
+
 bool joiner_line::has_room_for(vm_id joiner) const
 {
     bool const is_waiting =
@@ -115,19 +126,38 @@
     return join_referral{this->sample(std::move(members)), false};
 }
 
+std::optional<join_referral> joiner_line::refer_to_holders(
+    time_point now, vm_id joiner, failure_domain_id domain)
+{
+    join_referral referral;
+    arrivals const& known = this->holders[domain];
+    for (std::size_t named = 0; named < named_holders && !known.empty();
+         ++named)
+    {
+        // One after the other, so that each gets as many.
+        arrival const& holder = known[this->next_holder++ % known.size()];
+        bool const is_recent = now <= holder.asked_at + arrival_memory;
+        if (is_recent && holder.vm != joiner)
+            referral.holders.push_back(holder.vm);
+    }
+    if (referral.holders.empty())
+        return std::nullopt;
+    return referral;
+}
+
 std::optional<join_referral> joiner_line::refer_by_arrival(
     vm_id joiner,
     join_request const& request,
     arrivals const& came,
     bool has_documents)
 {
-    auto const found = std::ranges::find(came, joiner, &recent_joiner::vm);
+    auto const found = std::ranges::find(came, joiner, &arrival::vm);
     auto const place = static_cast<std::size_t>(found - came.begin());
     // Whom it was sent to did not serve it; someone else may.
     if (request.attempt > 0 && came.size() > 1)
     {
         std::vector<vm_id> others;
-        for (recent_joiner const& other : came)
+        for (arrival const& other : came)
         {
             if (other.vm != joiner)
                 others.push_back(other.vm);
--- a/libraries/versions/joiner_line.hpp
+++ b/libraries/versions/joiner_line.hpp
@@ -43,6 +43,9 @@
         bool has_documents = false;
     };
 
+    /// A VM of the domain has documents and can serve others. No precondition.
+    void note_holder(time_point now, vm_id holder, failure_domain_id domain);
+
     /// A joiner asks: whom it is to ask instead, or nothing where it waits in
     /// this VM's line. No precondition.
     [[nodiscard]] std::optional<join_referral>
@@ -56,20 +59,22 @@
     [[nodiscard]] std::vector<vm_id> take_due(time_point now);
 
 private:
-    struct recent_joiner
+    struct arrival
     {
         vm_id vm;
         time_point asked_at;
     };
-    using arrivals = std::vector<recent_joiner>;
+    using arrivals = std::vector<arrival>;
 
-    arrivals&
-    note_arrival(time_point now, vm_id joiner, failure_domain_id domain);
+    static arrivals&
+    note_arrival(time_point now, vm_id vm, arrivals& came, std::size_t most);
     [[nodiscard]] bool has_room_for(vm_id joiner) const;
     void admit(vm_id joiner);
     [[nodiscard]] std::optional<join_referral> refer_to_line(vm_id joiner);
     [[nodiscard]] std::optional<join_referral> refer_to_members(
         vm_id joiner, failure_domain_id domain, situation const& known);
+    [[nodiscard]] std::optional<join_referral>
+    refer_to_holders(time_point now, vm_id joiner, failure_domain_id domain);
     [[nodiscard]] std::optional<join_referral> refer_by_arrival(
         vm_id joiner,
         join_request const& request,
@@ -87,6 +92,9 @@
     std::size_t next_of_line = 0;
     /// In the order in which they came, by failure domain.
     std::map<failure_domain_id, arrivals> recent;
+    /// Those that told that they have documents, by failure domain.
+    std::map<failure_domain_id, arrivals> holders;
+    std::size_t next_holder = 0;
 };
 
 } // namespace cairnhead
--- a/libraries/versions/joining.cpp
+++ b/libraries/versions/joining.cpp
@@ -17,8 +17,12 @@
 /// a few VMs to hand documents on to each other.
 constexpr duration patience = std::chrono::milliseconds(400);
 
-/// A seed that hears from nobody may be the first of all.
-constexpr duration seed_patience = std::chrono::milliseconds(100);
+/// A seed that hears from nobody may be the first of all. Where the seeds are
+/// the last, a few of the others read before them: when the seeds are there
+/// they name those, and nobody has to wait until the seeds have read.
+constexpr duration short_patience = std::chrono::milliseconds(100);
+constexpr std::uint32_t early_percent = 5;
+constexpr std::uint32_t whole_percent = 100;
 
 /// A VM that hears from nobody reads the platform after this, and one that was
 /// sent to others after the longer time. Both are drawn out at random: VMs that
@@ -42,8 +46,11 @@
 void joining::begin(time_point now, bool is_seed, version_random& random)
 {
     this->has_begun = true;
+    std::uniform_int_distribution<std::uint32_t> draw(1, whole_percent);
+    bool const is_early = draw(random) <= early_percent;
     this->read_at =
-        now + (is_seed ? seed_patience : spread(silent_patience, random));
+        now + (is_seed || is_early ? short_patience
+                                   : spread(silent_patience, random));
 }
 
 bool joining::take_due(time_point now)
@@ -61,7 +68,11 @@
 
 join_request joining::request() const
 {
-    return {this->self.domain, false, this->attempts};
+    return {
+        .domain = this->self.domain,
+        .has_documents = false,
+        .is_referred = false,
+        .attempt = this->attempts};
 }
 
 std::vector<vm_id> joining::follow(
--- a/libraries/versions/version_store.cpp
+++ b/libraries/versions/version_store.cpp
@@ -160,11 +160,9 @@
 void version_store::ask_to_join(
     vm_id peer, join_request const& request, effect_list& effects) const
 {
-    // Who has documents already asks only whether others have newer ones.
-    if (this->documents.empty())
-        effects.push_back(send_control{peer, request});
-    else
-        this->send_listing(peer, listing_kind::request, effects);
+    join_request asked = request;
+    asked.has_documents = !this->documents.empty();
+    effects.push_back(send_control{peer, asked});
 }
 
 void version_store::serve_joiners(time_point now, effect_list& effects)
@@ -193,6 +191,13 @@
     effect_list& effects)
 {
     this->begin(now);
+    if (message.has_documents)
+    {
+        this->joiners.note_holder(now, sender, message.domain);
+        if (!this->documents.empty())
+            this->send_listing(sender, listing_kind::answer, effects);
+        return;
+    }
     auto referral = this->joiners.ask(
         now, sender, message, {this->peers, !this->documents.empty()});
     if (referral)
--- a/libraries/wire/control_codec.cpp
+++ b/libraries/wire/control_codec.cpp
@@ -158,6 +158,7 @@
         part.setDomain(body.domain.value());
         part.setIsReferred(body.is_referred);
         part.setAttempt(body.attempt);
+        part.setHasDocuments(body.has_documents);
     }
 
     void operator()(join_referral const& body)
@@ -304,6 +305,7 @@
 {
     return {
         .domain = failure_domain_id(from.getDomain()),
+        .has_documents = from.getHasDocuments(),
         .is_referred = from.getIsReferred(),
         .attempt = from.getAttempt()};
 }
--- a/libraries/wire/peer.capnp
+++ b/libraries/wire/peer.capnp
@@ -119,6 +119,7 @@
   domain @0 :UInt32;
   isReferred @1 :Bool;
   attempt @2 :UInt32;
+  hasDocuments @3 :Bool;
 }
 
 struct JoinReferral {
