Reducer: Stop with callers in mind before the VM has joined

The log shows `leave_started` and `ended` within a millisecond, on a VM that the fabric used: it knew the registry 3.4 s after its start (the store had been down), and joined only as long again after that. A VM that no peer knows ended at once. Change: a VM that knows the registry follows the timeline of a stop although it has not joined, and joins no more; the wait before joining ends after `longest_start`, as callers wait no longer either.

--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -266,7 +266,11 @@
     this->tagged.tick(now, out);
     this->ask_domains(out);
     if (!this->has_joined)
+    {
+        if (this->handing_over.is_leaving())
+            this->handing_over.tick(now, this->context(), out);
         return;
+    }
     this->members.tick(now, this->versions.digest(), out);
     this->leave_in_turn(now, out);
     this->report_domains(now, out);
@@ -352,12 +356,7 @@
         return;
     this->stop = plan_stop(this->settings.handover, now);
     if (!this->has_joined)
-    {
-        // Nobody knows this VM yet, so there is nothing to hand over.
-        this->begin_leave(now, out);
-        out.emplace_back(leave_complete{});
-        return;
-    }
+        return this->leave_unjoined(now, out);
     this->turn.request(now, this->stop.ready_until);
     this->leave_in_turn(now, out);
     if (!this->turn.is_waiting())
@@ -371,6 +370,17 @@
          {"others", std::to_string(others.all)}}});
 }
 
+void reducer::leave_unjoined(time_point now, effect_list& out)
+{
+    // No peer knows this VM, so there is nothing to hand over. The fabric may
+    // use it all the same: what it knows then suffices for callers' packets,
+    // which would be lost until the fabric has given it up.
+    bool const may_be_used = this->is_ready();
+    this->begin_leave(now, out);
+    if (!may_be_used)
+        out.emplace_back(leave_complete{});
+}
+
 void reducer::leave_in_turn(time_point now, effect_list& out)
 {
     if (!this->turn.take(now))
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -154,6 +154,7 @@
     void apply_document_changes(time_point now);
     void update_permission(time_point now, effect_list& out);
     void ask_domains(effect_list& out);
+    void leave_unjoined(time_point now, effect_list& out);
     void leave_in_turn(time_point now, effect_list& out);
     void begin_leave(time_point now, effect_list& out);
     void report_domains(time_point now, effect_list& out);
--- a/libraries/reducer/reducer_refresh.cpp
+++ b/libraries/reducer/reducer_refresh.cpp
@@ -1,5 +1,7 @@
 #include <reducer/reducer.hpp>
 
+#include <event/start_timeline.hpp>
+
 #include <algorithm>
 
 /// What follows from an event for the whole VM: whether it may place flows, and
@@ -44,15 +46,18 @@
 {
     // A joiner that owned flows before it knew the highest versions would
     // place openings by declarations that the others have already left.
-    if (this->has_joined || !this->versions.is_caught_up(now))
+    if (this->has_joined || this->handing_over.is_leaving() ||
+        !this->versions.is_caught_up(now))
         return;
     if (!this->caught_up_at)
         this->caught_up_at = now;
     // With tags a VM passes packets before it joins. Where all start at once,
     // documents take long, callers have waited for them, and all would join
     // in the moment in which those come: seen as requests that are late by as
-    // much again. Who got them soon joins soon.
-    auto const took = *this->caught_up_at - this->started_at;
+    // much again. Who got them soon joins soon; callers wait no longer than
+    // `longest_start`, and neither do peers.
+    auto const took = std::min<duration>(
+        *this->caught_up_at - this->started_at, longest_start);
     bool const may_wait = this->is_tagged() && this->versions.routes() &&
                           this->versions.upstreams();
     if (may_wait && now < *this->caught_up_at + took)
--- a/tests/reducer/tagged_readiness_test.cpp
+++ b/tests/reducer/tagged_readiness_test.cpp
@@ -1,6 +1,9 @@
+#include <event/start_timeline.hpp>
+#include <event/stop_timeline.hpp>
 #include <reducer/reducer.hpp>
 #include <registry/registry.hpp>
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace cairnhead;
@@ -51,6 +54,41 @@
     /// When the process started.
     static constexpr time_point start = time_point(1h) + tick_period;
 
+    /// A peer answers, and the registry is fetched from it.
+    void learn_registry(time_point moment)
+    {
+        auto const routes = encode_listing(route_listing{});
+        auto const upstreams = encode_listing(upstream_listing{});
+        document_version const first(1);
+        platform_listed listed{
+            platform_index(1),
+            {{std::string(route_document_name), first},
+             {std::string(upstream_document_name), first}},
+            {}};
+        this->apply_at(moment, std::move(listed));
+        this->apply_at(
+            moment, document_fetched{
+                        std::nullopt, std::string(route_document_name),
+                        first, routes});
+        this->apply_at(
+            moment, document_fetched{
+                        std::nullopt, std::string(upstream_document_name),
+                        first, upstreams});
+    }
+
+    [[nodiscard]] static bool has_ended(effect_list const& effects)
+    {
+        return std::ranges::any_of(
+            effects,
+            [](effect const& each)
+            {
+                return std::holds_alternative<leave_complete>(each);
+            });
+    }
+
+    /// After this a VM that was told to stop is killed.
+    static constexpr auto stop_grace = 6s;
+
     [[nodiscard]] serving_state state()
     {
         return this->decider.view(this->now).state;
@@ -62,6 +100,7 @@
         reducer_settings settings;
         settings.self = {vm_id(0x0a010001), failure_domain_id(1)};
         settings.memory = flow_memory::tags;
+        settings.handover.stop_grace = stop_grace;
         return settings;
     }
 
@@ -127,3 +166,47 @@
     }
     cr_expect_eq(drops, 1);
 }
+
+// Symptom: packets of callers are lost at a planned stop. Sequence: a VM starts
+// while the platform is down and learns the registry late; it is ready, and is
+// told to stop before it has joined its peers. Cause: a VM that no peer knows
+// was taken for one that no caller is sent to, and ended at once.
+Test(tagged_readiness, a_vm_that_stops_before_it_joined_passes_packets_on)
+{
+    lone_vm vm;
+    time_point const informed = lone_vm::start + 5s;
+    vm.learn_registry(informed);
+    cr_assert(vm.is_ready());
+    cr_assert(vm.state() == serving_state::joining);
+    auto const told = vm.apply_at(informed, leave_requested{});
+    cr_expect_not(lone_vm::has_ended(told));
+    cr_expect_not(vm.is_ready());
+    time_point ended = informed;
+    while (!lone_vm::has_ended(vm.apply_at(ended, tick{})))
+    {
+        ended += tick_period;
+        cr_assert(ended < informed + lone_vm::stop_grace, "is killed");
+    }
+    cr_expect(ended >= informed + readiness_notice, "is still in use");
+}
+
+// Symptom: callers wait although a VM is stopped that none was sent to.
+Test(tagged_readiness, a_vm_that_knows_nothing_ends_at_once)
+{
+    lone_vm vm;
+    cr_expect(lone_vm::has_ended(
+        vm.apply_at(lone_vm::start + 1s, leave_requested{})));
+}
+
+// Symptom: a VM is unknown to its peers for minutes though it passes packets,
+// and misses their changes. Sequence: the platform is down for long as it
+// starts. Cause: the time that it leaves to waiting callers grew without bound.
+Test(tagged_readiness, a_vm_that_learned_the_registry_late_joins_soon)
+{
+    lone_vm vm;
+    time_point const informed = lone_vm::start + 60s;
+    vm.learn_registry(informed);
+    cr_expect(vm.state() == serving_state::joining);
+    vm.apply_at(informed + longest_start, tick{});
+    cr_expect(vm.state() == serving_state::serving);
+}
