Versions: Look at one page of the platform only where nobody answers

Change: the page is read 20 ms after the start, and not where a VM that was asked has answered by then. The reducer wakes the version store for it.

--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -180,7 +180,11 @@
 
 std::optional<time_point> reducer::next_due() const
 {
-    return this->tagged.next_due();
+    auto const packets_at = this->tagged.next_due();
+    auto const documents_at = this->versions.next_due();
+    if (!packets_at || !documents_at)
+        return packets_at ? packets_at : documents_at;
+    return std::min(*packets_at, *documents_at);
 }
 
 bool reducer::knows_destinations() const
@@ -299,6 +303,7 @@
 
 void reducer::handle(time_point now, deadline_reached const&, effect_list& out)
 {
+    this->versions.advance(now, out);
     this->tagged.advance(now, out);
     this->ask_domains(out);
 }
--- a/libraries/versions/joining.cpp
+++ b/libraries/versions/joining.cpp
@@ -22,12 +22,12 @@
 
 /// Where the seeds are the last to start, a few of the others read before them:
 /// when the seeds are there they name those, and nobody has to wait until the
-/// seeds have read. Most of those that draw the lot are VMs whose processors
-/// are fast, as a page that came soon tells.
+/// seeds have read.
 constexpr std::uint32_t early_percent = 5;
-constexpr std::uint32_t early_percent_of_fast = 33;
 constexpr std::uint32_t whole_percent = 100;
-constexpr duration fast_page = std::chrono::milliseconds(15);
+
+/// Seeds that are there have answered by then.
+constexpr duration time_to_answer = std::chrono::milliseconds(20);
 
 /// A VM that hears from nobody reads the platform after this, and one that was
 /// sent to others after the longer time. Both are drawn out at random: VMs that
@@ -52,7 +52,7 @@
 {
     this->has_begun = true;
     this->is_seed = is_own_seed;
-    this->began_at = now;
+    this->glance_at = now + time_to_answer;
     this->read_at =
         now + (is_own_seed ? seed_patience : spread(silent_patience, random));
 }
@@ -60,9 +60,8 @@
 void joining::found_long(time_point now, version_random& random)
 {
     this->is_long = true;
-    bool const is_fast = now < this->began_at + fast_page;
     std::uniform_int_distribution<std::uint32_t> draw(1, whole_percent);
-    if (draw(random) <= (is_fast ? early_percent_of_fast : early_percent))
+    if (draw(random) <= early_percent)
         this->read_at = std::min(this->read_at, now);
 }
 
@@ -108,13 +107,22 @@
     return named;
 }
 
-platform_access joining::access(time_point now) const
+platform_access joining::choose_access(time_point now)
 {
     if (!this->has_begun)
         return platform_access::none;
     if (now >= this->read_at)
         return platform_access::reading;
-    return this->is_long ? platform_access::none : platform_access::glancing;
+    this->is_glancing |= now >= this->glance_at && !this->was_referred;
+    return this->is_glancing && !this->is_long ? platform_access::glancing
+                                               : platform_access::none;
+}
+
+time_point joining::next_due(time_point now) const
+{
+    if (now < this->glance_at)
+        return this->glance_at;
+    return std::max(now, std::min(this->next_ask_at, this->read_at));
 }
 
 bool joining::reads_on(time_point now) const
--- a/libraries/versions/joining.hpp
+++ b/libraries/versions/joining.hpp
@@ -14,10 +14,10 @@
 {
 
 /// How a VM that has just started comes to documents: it asks the addresses
-/// that it knows, follows where they send it, and reads one page of the
-/// platform. Where that is all, as with few upstreams, nothing is sooner. Where
-/// it is not, it reads everything only when it is told to, when nobody serves
-/// it, or when the lot falls on it.
+/// that it knows and follows where they send it. Where they do not answer at
+/// once, it reads one page of the platform: where that is all, as with few
+/// upstreams, nothing is sooner. It reads more only when it is told to, when
+/// nobody serves it, or when the lot falls on it.
 ///
 /// Load that this answers: all VMs of a fleet start at once. If each read the
 /// platform by itself, as none knows of the others, a start of all would be as
@@ -48,7 +48,11 @@
 
     /// How much of the platform this VM is to read though it knows no
     /// documents. No precondition.
-    [[nodiscard]] platform_access access(time_point now) const;
+    [[nodiscard]] platform_access choose_access(time_point now);
+
+    /// When to look at it again while there are no documents. Precondition:
+    /// begun.
+    [[nodiscard]] time_point next_due(time_point now) const;
 
     /// Whether it goes on reading for others once it has documents. No
     /// precondition.
@@ -60,10 +64,11 @@
     /// How often it was sent to others in vain.
     std::uint32_t attempts = 0;
     time_point next_ask_at;
-    time_point began_at;
+    time_point glance_at;
     time_point read_at;
     bool has_begun = false;
     bool is_seed = false;
+    bool is_glancing = false;
     bool is_long = false;
     bool was_referred = false;
     /// Since it asked last.
--- a/libraries/versions/version_store.cpp
+++ b/libraries/versions/version_store.cpp
@@ -49,9 +49,23 @@
 void version_store::start(time_point now, bool is_seed, effect_list& effects)
 {
     this->join.begin(now, is_seed, this->random);
+    this->join_due_at = now;
     this->tick(now, effects);
 }
 
+std::optional<time_point> version_store::next_due() const
+{
+    if (!this->join_due_at || !this->documents.empty())
+        return std::nullopt;
+    return this->join_due_at;
+}
+
+void version_store::advance(time_point now, effect_list& effects)
+{
+    if (this->next_due() && now >= *this->join_due_at)
+        this->tick(now, effects);
+}
+
 void version_store::set_peers(
     time_point now, std::span<document_peer const> reachable)
 {
@@ -92,7 +106,7 @@
         return;
     }
     bool const has_read = this->access != platform_access::none;
-    this->access = this->join.access(now);
+    this->access = this->join.choose_access(now);
     if (!has_read && this->join.reads_on(now))
         this->succession.begin();
 }
@@ -132,6 +146,9 @@
     this->ask_peers_on_joining(now, effects);
     this->serve_joiners(now, effects);
     this->start_fetches(now, effects);
+    // Ticks are too far apart for a VM whose callers wait.
+    if (this->join_due_at)
+        this->join_due_at = this->join.next_due(now);
 }
 
 std::optional<registry_snapshot> version_store::make_snapshot() const
--- a/libraries/versions/version_store.hpp
+++ b/libraries/versions/version_store.hpp
@@ -60,6 +60,12 @@
     /// this VM first, or it knows nobody to ask. Precondition: called once.
     void start(time_point now, bool is_seed, effect_list& effects);
 
+    /// When `advance` should be called, if at all. No precondition.
+    [[nodiscard]] std::optional<time_point> next_due() const;
+
+    /// Does what is due. No precondition.
+    void advance(time_point now, effect_list& effects);
+
     /// Which peers are reachable now, without this VM. Decides whether this
     /// VM is a reader. What only other peers had is no longer waited for. No
     /// precondition.
@@ -240,6 +246,8 @@
     absl::flat_hash_map<vm_id, time_point> next_requests;
     /// Set by the first event.
     std::optional<time_point> join_deadline;
+    /// Set by `start`.
+    std::optional<time_point> join_due_at;
     /// Lacking documents beyond this, the VM reads the platform itself.
     time_point progress_deadline;
     /// When what is held here changed last, and since when peers' digests
