Versions: Wake no VM for what it waits for already

Cause: emulator and traffic ran without end, three processes at a core each for half an hour; gdb shows deadlines that are due at the same moment again. A joiner that was to read had a deadline in the past as its next one. Ruled out: Criterion, whose parent only waits. Change: `joining::next_due` names what is not due yet, or nothing. The new test of joining fails before.

--- a/libraries/versions/joining.cpp
+++ b/libraries/versions/joining.cpp
@@ -118,11 +118,16 @@
                                                : platform_access::none;
 }
 
-time_point joining::next_due(time_point now) const
+std::optional<time_point> joining::next_due(time_point now) const
 {
-    if (now < this->glance_at)
-        return this->glance_at;
-    return std::max(now, std::min(this->next_ask_at, this->read_at));
+    std::optional<time_point> next;
+    for (time_point const due :
+         {this->glance_at, this->next_ask_at, this->read_at})
+    {
+        if (due > now && (!next || due < *next))
+            next = due;
+    }
+    return next;
 }
 
 bool joining::reads_on(time_point now) const
--- a/libraries/versions/joining.hpp
+++ b/libraries/versions/joining.hpp
@@ -8,6 +8,7 @@
 
 #include <absl/container/flat_hash_set.h>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace cairnhead
@@ -50,9 +51,11 @@
     /// documents. No precondition.
     [[nodiscard]] platform_access choose_access(time_point now);
 
-    /// When to look at it again while there are no documents. Precondition:
-    /// begun.
-    [[nodiscard]] time_point next_due(time_point now) const;
+    /// When something will be due that is not due yet. What is due already
+    /// waits for an answer: with a deadline that has passed the VM would wake up
+    /// again and again, which shows as a core that is busy while the platform
+    /// is down. No precondition.
+    [[nodiscard]] std::optional<time_point> next_due(time_point now) const;
 
     /// Whether it goes on reading for others once it has documents. No
     /// precondition.
--- a/tests/versions/test_joining.cpp
+++ b/tests/versions/test_joining.cpp
@@ -286,3 +286,29 @@
     (void)answered.follow(start + 5ms, {{vm_id(5)}, false}, random);
     cr_expect(answered.choose_access(start + 20ms) == platform_access::none);
 }
+
+// Symptom: a VM keeps its core busy for as long as the platform is down.
+// Sequence: it is to read, and waits. Cause: a deadline that has passed stays
+// the next one.
+Test(joining, what_is_due_already_wakes_nobody)
+{
+    for (bool const is_seed : {false, true})
+    {
+        version_random random(5);
+        joining vm(self);
+        vm.begin(start, is_seed, random);
+        time_point now = start;
+        int wakes = 0;
+        while (auto const due = vm.next_due(now))
+        {
+            cr_assert(*due > now);
+            now = *due;
+            (void)vm.choose_access(now);
+            (void)vm.take_due(now);
+            ++wakes;
+            if (now > start + 10s)
+                break;
+        }
+        cr_expect_lt(wakes, 150, "it asks peers eleven times a second at most");
+    }
+}
