Tagging: Offer nothing again before confirmations have come back

Change: four confirmations must come back to a VM that has just started before it takes an unconfirmed opening for unanswered. The new test of unreachable fails before.

--- a/tests/tagging/router_fixture.hpp
+++ b/tests/tagging/router_fixture.hpp
@@ -21,6 +21,7 @@
 inline constexpr std::uint16_t split_port = 444;
 inline constexpr std::uint16_t unknown_port = 445;
 inline constexpr std::uint16_t idempotent_port = 446;
+inline constexpr std::uint16_t other_port = 447;
 
 inline registered_upstream make_upstream(
     std::uint64_t number,
@@ -38,8 +39,8 @@
         .failure_domain = std::move(domain)};
 }
 
-/// A router that has upstreams and two routes: one to the pool `main`, one
-/// that splits its flows between `main` and `other`, 1 to 3.
+/// A router that has upstreams and routes: to the pool `main`, to `other`, and
+/// one that splits its flows between `main` and `other`, 1 to 3.
 class bench
 {
 public:
@@ -67,6 +68,8 @@
              {{"main", 1}, {"other", 3}}});
         routes.routes.push_back(
             {address, idempotent_port, flow_class::feed, true, {{"main", 1}}});
+        routes.routes.push_back(
+            {address, other_port, flow_class::form, false, {{"other", 1}}});
         for (published_route& route : routes.routes)
             route.target_latency = target;
         this->router.set_listings(
@@ -230,6 +233,22 @@
         return instance;
     }
 
+    /// Has callers confirm openings that this VM placed, as they do soon after
+    /// its start, and end their flows. Precondition: the port's pool has a
+    /// ready upstream.
+    void see_confirmations(std::uint16_t port = known_port)
+    {
+        constexpr std::uint64_t first_flow = 60'000;
+        for (std::uint64_t flow = first_flow; flow < first_flow + 4; ++flow)
+        {
+            auto const instance = this->open(flow, port);
+            this->go_on(flow, instance);
+            this->pass(
+                flow, packet_phase::reset,
+                static_cast<std::uint32_t>(instance), port);
+        }
+    }
+
     /// Where effects that come without a packet are kept for `take`.
     effect_list& others()
     {
--- a/tests/tagging/test_restarted_upstream.cpp
+++ b/tests/tagging/test_restarted_upstream.cpp
@@ -37,6 +37,7 @@
 Test(restarted_upstream, nothing_believed_of_the_earlier_start_holds)
 {
     bench vm({start_of(1, first_life)});
+    vm.see_confirmations();
     for (std::uint64_t flow = 1; flow <= 4; ++flow)
         vm.open(flow);
     vm.advance(500ms);
--- a/tests/tagging/test_tagging.cpp
+++ b/tests/tagging/test_tagging.cpp
@@ -411,6 +411,7 @@
     // the caller puts the tag of the latest packet into its own. Cause: the tag
     // followed, though the packet goes on where the flow's last one stood.
     bench vm({make_upstream(1), make_upstream(2), make_upstream(3)});
+    vm.see_confirmations();
     std::vector<std::uint64_t> asked{vm.open(7)};
     vm.advance(110ms);
     for (auto const& again : vm.take<repeat_opening>())
--- a/tests/tagging/test_unreachable.cpp
+++ b/tests/tagging/test_unreachable.cpp
@@ -61,6 +61,7 @@
     // Sequence: it opens a flow, and nobody answers. Cause: only the caller's
     // own copy moved the opening on.
     bench vm({make_upstream(1), make_upstream(2)});
+    vm.see_confirmations();
     auto const first = vm.open(7);
     vm.advance(vm.settings.retry_after);
     auto const repeated = vm.take<repeat_opening>();
@@ -75,6 +76,24 @@
     cr_expect_neq(vm.open(8), 0);
 }
 
+Test(unreachable, a_vm_that_has_just_started_offers_nothing_again)
+{
+    // Symptom: a flow that lives is reset by an upstream that does not hold it,
+    // seconds after a VM came back. Sequence: the VM places an opening; the
+    // fabric hands the caller's confirmation to another VM; the opening goes to
+    // a second upstream, whose answer changes the tag; the flow's next packet
+    // comes to this VM again, which knows no more of it than that opening.
+    // Cause: it took confirmations to come back before it had seen one.
+    bench vm({make_upstream(1), make_upstream(2)});
+    vm.open(7);
+    vm.advance(1s);
+    cr_expect(vm.take<repeat_opening>().empty());
+    vm.see_confirmations();
+    vm.open(8);
+    vm.advance(1s);
+    cr_expect_not(vm.take<repeat_opening>().empty());
+}
+
 Test(unreachable, a_confirmed_opening_is_not_repeated)
 {
     bench vm({make_upstream(1), make_upstream(2)});
@@ -111,6 +130,7 @@
 Test(unreachable, an_opening_is_repeated_a_few_times_only)
 {
     bench vm({make_upstream(1), make_upstream(2), make_upstream(3)});
+    vm.see_confirmations();
     vm.open(7);
     vm.advance(1s);
     cr_expect_eq(vm.take<repeat_opening>().size(), vm.settings.maximum_retries);
@@ -122,6 +142,7 @@
     // fail, so it has the fewest flows and is chosen again. Cause: repeating
     // an opening did not count against the upstream.
     bench vm({make_upstream(1), make_upstream(2)});
+    vm.see_confirmations();
     auto const dead = vm.open(7);
     vm.advance(vm.settings.retry_after);
     vm.go_on(7, 3 - dead);
