Versions: Read as early as others need it, and not for want of a name

And those that read for the others began 100 ms or more after their start: the first VM knew the registry .353 s after the first start, the median .676 s. Ruled out: the election itself; a VM that knows nobody is given 3 s by it. Change: who has not begun reads for nobody; a seed and one VM in twenty read at once, and the others never decide so later; the only VM of a domain waits for its turn once, whatever it hears of other domains.

--- a/libraries/versions/joining.cpp
+++ b/libraries/versions/joining.cpp
@@ -17,12 +17,9 @@
 /// a few VMs to hand documents on to each other.
 constexpr duration patience = std::chrono::milliseconds(400);
 
-/// A seed that hears from nobody may be the first of all.
-constexpr duration seed_patience = std::chrono::milliseconds(100);
-
-/// Where the seeds are the last to start, a few of the others read before them:
-/// when the seeds are there they name those, and nobody has to wait until the
-/// seeds have read.
+/// Those that all ask may be the last to start, and reading takes long on a
+/// small VM. So a few others read at once: the seeds name those, and nobody has
+/// to wait until the seeds have read.
 constexpr std::uint32_t early_percent = 5;
 constexpr std::uint32_t whole_percent = 100;
 
@@ -53,16 +50,15 @@
     this->has_begun = true;
     this->is_seed = is_own_seed;
     this->glance_at = now + time_to_answer;
+    std::uniform_int_distribution<std::uint32_t> draw(1, whole_percent);
+    bool const is_early = draw(random) <= early_percent;
     this->read_at =
-        now + (is_own_seed ? seed_patience : spread(silent_patience, random));
+        is_own_seed || is_early ? now : now + spread(silent_patience, random);
 }
 
-void joining::found_long(time_point now, version_random& random)
+void joining::found_long()
 {
     this->is_long = true;
-    std::uniform_int_distribution<std::uint32_t> draw(1, whole_percent);
-    if (draw(random) <= early_percent)
-        this->read_at = std::min(this->read_at, now);
 }
 
 bool joining::take_due(time_point now)
@@ -132,7 +128,7 @@
 
 bool joining::reads_on(time_point now) const
 {
-    return this->is_seed || now >= this->read_at;
+    return this->has_begun && (this->is_seed || now >= this->read_at);
 }
 
 } // namespace cairnhead
--- a/libraries/versions/joining.hpp
+++ b/libraries/versions/joining.hpp
@@ -30,7 +30,7 @@
     explicit joining(vm_identity const& self);
 
     /// The process started. A seed, which others ask first, reads the platform
-    /// soon; so does who knows nobody to ask. Precondition: called once.
+    /// at once; so does who knows nobody to ask. Precondition: called once.
     void begin(time_point now, bool is_own_seed, version_random& random);
 
     /// Whether the peers are to be asked now; counts as asked. No precondition.
@@ -45,7 +45,7 @@
         time_point now, join_referral const& referral, version_random& random);
 
     /// The platform holds more than a page. No precondition.
-    void found_long(time_point now, version_random& random);
+    void found_long();
 
     /// How much of the platform this VM is to read though it knows no
     /// documents. No precondition.
--- a/libraries/versions/reader_succession.cpp
+++ b/libraries/versions/reader_succession.cpp
@@ -3,6 +3,7 @@
 #include <versions/peer_selection.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace cairnhead
 {
@@ -74,10 +75,13 @@
     this->bystanders.assign(after, this->listeners.end());
     this->listeners.resize(others);
     // Readers need a while to learn of a VM that has just joined, and longer
-    // where all have.
-    if (!this->has_peers)
+    // where all have. Who knows nobody of its domain may be alone there: what
+    // it hears of other domains must not put its turn off again and again.
+    bool const has_peers_now = !this->listeners.empty();
+    bool const is_first_word = !std::exchange(this->was_told_of_peers, true);
+    if (is_first_word || (has_peers_now && !this->has_peers))
         this->due_at = now + this->patience * joining_patience;
-    this->has_peers = !this->listeners.empty();
+    this->has_peers = has_peers_now;
 }
 
 bool reader_succession::is_ahead_of_self(vm_id other) const
--- a/libraries/versions/reader_succession.hpp
+++ b/libraries/versions/reader_succession.hpp
@@ -84,6 +84,7 @@
     /// Whether this VM took its place and the platform answers it.
     bool is_acting = false;
     bool has_peers = false;
+    bool was_told_of_peers = false;
 };
 
 } // namespace cairnhead
--- a/libraries/versions/version_store.cpp
+++ b/libraries/versions/version_store.cpp
@@ -276,7 +276,7 @@
     if (event.is_beyond_extent)
     {
         this->watch.put_off();
-        this->join.found_long(now, this->random);
+        this->join.found_long();
         return this->tick(now, effects);
     }
     this->watch.listed(now, event.index, this->random, effects);
--- a/tests/versions/test_reader_succession.cpp
+++ b/tests/versions/test_reader_succession.cpp
@@ -92,6 +92,23 @@
     cr_expect(told.is_reading(start + 400ms));
 }
 
+// Symptom: changes reach a failure domain late or never. Sequence: one VM of it
+// is left, and VMs of other domains come and go. Cause: each change of members
+// puts off the moment at which it reads.
+Test(reader_succession, the_only_one_of_its_domain_reads_soon)
+{
+    time_point const start{1h};
+    version_settings settings;
+    settings.reader_patience = patience;
+    reader_succession alone(settings, {vm_id(1), domain});
+    for (duration passed{}; passed < patience * 2; passed += 100ms)
+    {
+        alone.set_peers(start + passed, {});
+        cr_expect_not(alone.is_reading(start + passed));
+    }
+    cr_expect(alone.is_reading(start + patience * 2));
+}
+
 // Symptom: changes of a second are seen by nobody. Sequence: a VM that will
 // read joins. Cause: the one that reads ends before the other has begun.
 Test(reader_succession, whoever_reads_goes_on_until_it_hears_of_the_next)
