Versions: Ask two of the VMs that all ask, and all three only in vain

Cause: after a loss of all VMs of the large listings the VMs that all ask, 0.5 of a core each, took 150 to 200 ms to read the platform where another such VM took 54 ms: each joiner asked all three. Ruled out: one at first (the median VM knew the registry .608 s after the first start, but who asks one that is gone waits 90 ms). Change: a joiner asks two at first, and all three when nobody answers.

--- a/libraries/tagging/opening_returns.hpp
+++ b/libraries/tagging/opening_returns.hpp
@@ -47,9 +47,10 @@
     /// offered again: more than come by chance where VMs are chosen for each
     /// packet.
     static constexpr std::int32_t needed = 16;
-    /// So many must come back first where a VM has just started: flows of before
-    /// are strangers to it, and it may see its own openings confirmed, or offer
-    /// some of them a second time in vain, before the first of those shows.
+    /// So many must come back first where a VM has just started: flows of
+    /// before are strangers to it, and it may see its own openings confirmed,
+    /// or offer some of them a second time in vain, before the first of those
+    /// shows.
     static constexpr std::int32_t first_confirmations = 4;
     /// Strangers that a VM takes, twice their weight, before it offers nothing
     /// again: late packets of flows that it forgot are fewer, and a VM that
--- a/libraries/versions/joining.cpp
+++ b/libraries/versions/joining.cpp
@@ -13,6 +13,10 @@
 /// that all ask may be there a little later than the others.
 constexpr duration unanswered_patience = std::chrono::milliseconds(90);
 
+/// Some of those that it knows may be gone.
+constexpr std::size_t first_peers_to_ask = 2;
+constexpr std::size_t most_peers_to_ask = 3;
+
 /// Who was sent to others and not served asks again after this: long enough for
 /// a few VMs to hand documents on to each other.
 constexpr duration patience = std::chrono::milliseconds(400);
@@ -66,6 +70,7 @@
     if (now < this->next_ask_at)
         return false;
     this->next_ask_at = now + unanswered_patience;
+    ++this->questions;
     if (std::exchange(this->is_referred, false))
     {
         this->asked.clear();
@@ -74,6 +79,11 @@
     return true;
 }
 
+std::size_t joining::peers_to_ask() const
+{
+    return this->questions > 1 ? most_peers_to_ask : first_peers_to_ask;
+}
+
 join_request joining::request() const
 {
     return {
@@ -88,6 +98,7 @@
 {
     bool const is_first = !std::exchange(this->was_referred, true);
     this->is_referred = true;
+    this->questions = 0;
     this->next_ask_at = now + spread(patience, random);
     if (referral.is_to_read)
         this->read_at = std::min(this->read_at, now);
--- a/libraries/versions/joining.hpp
+++ b/libraries/versions/joining.hpp
@@ -7,6 +7,7 @@
 #include <versions/platform_watch.hpp>
 
 #include <absl/container/flat_hash_set.h>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -36,6 +37,11 @@
     /// Whether the peers are to be asked now; counts as asked. No precondition.
     [[nodiscard]] bool take_due(time_point now);
 
+    /// How many of them are to be asked at once: two, as one may be gone, and
+    /// more as long as nobody answers. Where all start at once, those that all
+    /// ask are busy enough with that. No precondition.
+    [[nodiscard]] std::size_t peers_to_ask() const;
+
     /// What to ask first, and whom it was referred to. No precondition.
     [[nodiscard]] join_request request() const;
 
@@ -52,9 +58,9 @@
     [[nodiscard]] platform_access choose_access(time_point now);
 
     /// When something will be due that is not due yet. What is due already
-    /// waits for an answer: with a deadline that has passed the VM would wake up
-    /// again and again, which shows as a core that is busy while the platform
-    /// is down. No precondition.
+    /// waits for an answer: with a deadline that has passed the VM would wake
+    /// up again and again, which shows as a core that is busy while the
+    /// platform is down. No precondition.
     [[nodiscard]] std::optional<time_point> next_due(time_point now) const;
 
     /// Whether it goes on reading for others once it has documents. No
@@ -64,6 +70,8 @@
 private:
     vm_identity self;
     absl::flat_hash_set<vm_id> asked;
+    /// How often it asked since somebody answered.
+    std::size_t questions = 0;
     /// How often it was sent to others in vain.
     std::uint32_t attempts = 0;
     time_point next_ask_at;
--- a/libraries/versions/version_store.cpp
+++ b/libraries/versions/version_store.cpp
@@ -14,9 +14,6 @@
 namespace
 {
 
-/// A joiner asks this many peers at once.
-constexpr std::size_t join_request_peers = 3;
-
 /// Digests ride on every ping; two VMs that differ for longer (a document
 /// that cannot be read, a slow fetch) would send listings with each of them.
 constexpr duration listing_request_period = 2s;
@@ -166,7 +163,7 @@
         return;
     std::vector<document_peer> asked;
     std::ranges::sample(
-        this->peers, std::back_inserter(asked), join_request_peers,
+        this->peers, std::back_inserter(asked), this->join.peers_to_ask(),
         this->random);
     for (auto const& peer : asked)
         this->ask_to_join(peer.id, this->join.request(), effects);
--- a/tests/reducer/tagged_readiness_test.cpp
+++ b/tests/reducer/tagged_readiness_test.cpp
@@ -67,9 +67,9 @@
             {}};
         this->apply_at(moment, std::move(listed));
         this->apply_at(
-            moment, document_fetched{
-                        std::nullopt, std::string(route_document_name),
-                        first, routes});
+            moment,
+            document_fetched{
+                std::nullopt, std::string(route_document_name), first, routes});
         this->apply_at(
             moment, document_fetched{
                         std::nullopt, std::string(upstream_document_name),
--- a/tests/tagging/router_fixture.hpp
+++ b/tests/tagging/router_fixture.hpp
@@ -244,8 +244,8 @@
             auto const instance = this->open(flow, port);
             this->go_on(flow, instance);
             this->pass(
-                flow, packet_phase::reset,
-                static_cast<std::uint32_t>(instance), port);
+                flow, packet_phase::reset, static_cast<std::uint32_t>(instance),
+                port);
         }
     }
 
--- a/tests/versions/test_joining.cpp
+++ b/tests/versions/test_joining.cpp
@@ -192,8 +192,10 @@
     joining vm(self);
     vm.begin(start, false, random);
     cr_expect(vm.take_due(start));
+    cr_expect_eq(vm.peers_to_ask(), 2);
     cr_expect_not(vm.take_due(start + 50ms));
     cr_expect(vm.take_due(start + 100ms), "nobody answered");
+    cr_expect_eq(vm.peers_to_ask(), 3);
     cr_expect_eq(vm.request().attempt, 0);
     auto const named = vm.follow(
         start + 110ms, {{vm_id(5), vm_id(6), self.id}, false}, random);
@@ -204,6 +206,7 @@
         "asked already");
     cr_expect_not(vm.take_due(start + 500ms));
     cr_expect(vm.take_due(start + 1s), "nobody served it");
+    cr_expect_eq(vm.peers_to_ask(), 2);
     cr_expect_eq(vm.request().attempt, 1);
     cr_expect_eq(
         vm.follow(start + 1s, {{vm_id(6)}, false}, random).size(), 1,
@@ -245,8 +248,8 @@
 }
 
 // Symptom: a start of all is as many complete reads as there are VMs, or all
-// wait until the seeds have read. Sequence: the VMs that all ask are the last to
-// start. Cause: each VM reads by itself soon, or none before it was told to.
+// wait until the seeds have read. Sequence: the VMs that all ask are the last
+// to start. Cause: each VM reads by itself soon, or none before it was told to.
 Test(joining, few_read_a_long_registry_and_those_at_once)
 {
     version_random random(11);
@@ -260,8 +263,8 @@
         each.found_long();
         auto const then = each.choose_access(start + 700ms);
         cr_expect(
-            then == (is_early ? platform_access::reading
-                              : platform_access::none));
+            then ==
+            (is_early ? platform_access::reading : platform_access::none));
         early += is_early ? 1 : 0;
     }
     cr_expect_gt(early, 60);
