Story: Tell a reset of a flow whose upstream's address was taken over

Cause: `cairnhead explain` said of each reset that the upstream was out of reach and a check found nobody, also where the registry had given its address away. Ruled out: nothing.

--- a/libraries/story/story_conclusion.cpp
+++ b/libraries/story/story_conclusion.cpp
@@ -85,6 +85,10 @@
 std::string tell_reset(std::span<story_line const> lines, story_line const& at)
 {
     log_record const& record = *at.record;
+    if (record.value_of("rule") == "address_taken_over")
+        return absl::StrCat(
+            "Reset: ", upstream_of(record),
+            " had ended: another upstream has registered at its address.");
     return absl::StrCat(
         "Reset: ", upstream_of(record), " was out of reach for ", text(at.vm),
         ". Nobody got an answer from it for ",
--- a/tests/story/test_flow_story.cpp
+++ b/tests/story/test_flow_story.cpp
@@ -122,6 +122,27 @@
     cr_expect(told.conclusion.find("domain dub-c") != std::string::npos);
 }
 
+// Symptom: on-call engineers look for a cut that never was. Sequence: a flow is
+// reset as its upstream's address has a new owner. Cause: one text for all
+// resets.
+Test(flow_story, tells_an_upstream_whose_address_was_taken_over)
+{
+    auto const log = make_log(
+        "vm-1", "00.000Z level=info event=started vm=10.1.0.1\n" +
+                    of_flow("10.000", "flow_placed", placed) +
+                    of_flow(
+                        "11.600", "flow_reset",
+                        "rule=address_taken_over upstream=i-01 "
+                        "at=10.1.64.19"));
+    std::vector<vm_log> const logs{log};
+    auto const stories = ask(logs);
+    cr_assert_eq(stories.size(), 1);
+    std::string const& conclusion = stories.front().conclusion;
+    cr_expect(
+        conclusion.starts_with("Reset: upstream i-01 at 10.1.64.19 had ended"),
+        "%s", conclusion.c_str());
+}
+
 Test(flow_story, names_what_the_logs_do_not_tell)
 {
     auto const first = make_log(
