--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,14 +1,15 @@
-"""Entry VMs restart in turn; before that, two hosts took some openings.
+"""Entries of another writer name the addresses of hosts that live.
 
-With and without the disruption the first answer to one opening in 20 is lost
-on its way to the caller, which is about one datagram in a thousand. With
-TROUBLE=0 no VM is restarted.
+The service of these entries is in no configuration, so they name no host to
+use, and the entries of the hosts themselves hold. With TROUBLE=0 nobody
+writes them.
 """
 
 import asyncio
 import os
 import pathlib
 import sys
+import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins"))
@@ -16,38 +17,40 @@
 import play
 
 SERVICE = "huvo11a"
-SECONDS_BEFORE = 6
-GAP_SECONDS = 1.3
-STATUS = {"name": "status-watch", "kind": "idempotent", "limit": 1.2,
-          "aim_ms": 200, "route": ("198.18.0.1", 8443), "service": SERVICE,
-          "bytes": 2000, "users": 100, "requests": 8, "pause": (0.2, 1.2),
-          "spread": 3.0}
-APPLY = {"name": "permit-apply", "kind": "non_idempotent", "limit": 1.5,
-         "aim_ms": 250, "route": ("198.18.0.1", 8080), "service": SERVICE,
-         "bytes": 600, "users": 100, "requests": 8, "pause": (0.2, 1.2),
+FOREIGN_SERVICE = "huvo11a-staging"
+SECONDS_BEFORE = 10
+SECONDS_BETWEEN = 1.5
+FEED = {"name": "lot-feed", "kind": "idempotent", "limit": 1.2,
+        "aim_ms": 120, "route": ("198.18.0.1", 8443), "service": SERVICE,
+        "bytes": 2000, "users": 72, "requests": 60, "pause": (0.05, 0.4),
+        "spread": 3.0}
+OFFER = {"name": "offer", "kind": "non_idempotent", "limit": 1.5,
+         "aim_ms": 150, "route": ("198.18.0.1", 8080), "service": SERVICE,
+         "bytes": 600, "users": 72, "requests": 60, "pause": (0.05, 0.4),
          "spread": 3.0}
 PLAN = {
     "seed": int(os.environ.get("SEED", "1")), "store_port": 8169,
-    "seconds": 36, "idle_ms": 15000, "caller_seconds": 0.003,
-    "lost_answers": 20,
-    "vms": {"dub-a": 2, "dub-b": 2, "dub-c": 2},
-    "hosts": [(SERVICE, "dub-a", 5, 0.045), (SERVICE, "dub-b", 5, 0.045),
-              (SERVICE, "dub-c", 4, 0.045)],
-    "kinds": [STATUS, APPLY]}
+    "seconds": 24, "idle_ms": 15000, "caller_seconds": 0.001,
+    "vms": {"stirling": 3, "perth": 2, "falkirk": 2, "lanark": 2},
+    "hosts": [(SERVICE, "stirling", 4, 0.025), (SERVICE, "perth", 4, 0.025),
+              (SERVICE, "falkirk", 3, 0.025), (SERVICE, "lanark", 3, 0.025)],
+    "kinds": [FEED, OFFER]}
 
 
-async def restart_in_turn(world):
-    """SIGTERM, SIGKILL after the grace, start; the next one once it is back."""
+async def write_foreign_entries(world):
+    """The first lacks a field; the others are whole but for their service."""
     await asyncio.sleep(SECONDS_BEFORE)
-    for vm in world.deployment.vms:
-        world.network.note("%s gets SIGTERM" % vm.name)
-        await vm.restart()
-        while not vm.is_used:
-            await asyncio.sleep(0.05)
-        world.network.note("%s is back" % vm.name)
-        await asyncio.sleep(GAP_SECONDS)
+    for number, host in enumerate(world.hosts[0:8:2]):
+        entry = {**host.entry(int(time.time() * 1000)),
+                 "service": FOREIGN_SERVICE}
+        if number == 0:
+            del entry["born"]
+        key = "servers/i-%08x" % (0x5c0ffee0 + number)
+        world.network.note("another writer writes %s %s" % (key, entry))
+        world.store.put(key, entry)
+        await asyncio.sleep(SECONDS_BETWEEN)
 
 
 if __name__ == "__main__":
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    play.main(PLAN, restart_in_turn if has_trouble else None, HERE)
+    play.main(PLAN, write_foreign_entries if has_trouble else None, HERE)
--- a/review/standins/callers.py
+++ b/review/standins/callers.py
@@ -33,6 +33,8 @@
         self.host = None
         self.is_open = False
         self.is_over = False
+        self.is_closed_by_host = False
+        self.began_at = self.loop.time()
         self.copies = 0
         self.parts = {}
         self.text = b""
@@ -116,6 +118,8 @@
             self.unacknowledged = None
         if packet.data:
             self.take_data(packet)
+        if packet.flags & FIN:
+            self.is_closed_by_host = True
         self.changed.set()
 
     def take_opened(self, packet, host):
@@ -177,8 +181,11 @@
     async def use(self, flow, until):
         loop = asyncio.get_running_loop()
         random = self.network.random
+        attempt = self.network.note_attempt()
         await flow.open()
-        for _ in range(self.plan["requests"]):
+        for number in range(self.plan["requests"]):
+            if number > 0:
+                attempt = self.network.note_attempt()
             request = {"id": self.network.make_id(),
                        "bytes": self.kind["bytes"]}
             self.network.note_sent(flow, request["id"], self.kind["name"])
@@ -191,7 +198,8 @@
             self.network.note_answer(flow, request["id"], answer)
             if answer is None:
                 raise FlowEnded("no answer")
-            if loop.time() > until:
+            attempt.is_served = answer["ran"]
+            if loop.time() > until or flow.is_closed_by_host:
                 return
             await asyncio.sleep(random.uniform(*self.plan["pause"]))
             if flow.is_over:
--- a/review/standins/hosts.py
+++ b/review/standins/hosts.py
@@ -46,6 +46,7 @@
         self.running = 0
         self.queue = []
         self.is_alive = True
+        self.drains_since = None
         self.state = "ready"
         self.random = random.Random(identity)
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -211,16 +212,35 @@
             flow.unacknowledged.append((flow.sent, part, ACK))
             self.send(key, ACK, flow.sent, flow.received, flow.echo, part)
             flow.sent = add(flow.sent, len(part))
+        if self.state == "draining":
+            flow.unacknowledged.append((flow.sent, b"", FIN | ACK))
+            self.send(key, FIN | ACK, flow.sent, flow.received, flow.echo)
+            flow.sent = add(flow.sent, 1)
         if flow.repetition is not None:
             flow.repetition.cancel()
         self.repeat_later(key, flow, FIRST_REPETITION, 0)
 
+    def drain(self):
+        """From now on; the caller of this writes the entry."""
+        self.state = "draining"
+        self.drains_since = asyncio.get_running_loop().time()
+
+    def end(self):
+        """The process is gone."""
+        self.is_alive = False
+        self.flows.clear()
+        asyncio.get_running_loop().remove_reader(self.socket)
+        self.socket.close()
+        self.health.close()
+
     def forget(self, key):
         flow = self.flows.pop(key, None)
         if flow is not None and flow.repetition is not None:
             flow.repetition.cancel()
 
     def send(self, key, flags, seq, ack, echo, data=b""):
+        if not self.is_alive:
+            return
         src, sport, dst, dport = key
         packet = Packet(dst, dport, src, sport, flags, seq, ack, echo, data)
         self.network.to_caller(self, packet)
--- a/review/standins/network.py
+++ b/review/standins/network.py
@@ -2,6 +2,7 @@
 what callers and hosts saw."""
 
 import asyncio
+import dataclasses
 import random
 import socket
 import zlib
@@ -11,9 +12,20 @@
 from packets import SYN, Packet
 
 FLOW_STRAY_SECONDS = 2.0
+DRAIN_SECONDS = 3.0
+RECOVERY_SECONDS = 12.0
+LEAST_SERVED = 0.25
 LINK_SECONDS = 0.0005
 
 
+@dataclasses.dataclass
+class Attempt:
+    """A request, from the moment when its caller wants it sent."""
+
+    sent_at: float
+    is_served: bool = False
+
+
 class Network:
     """Passes packets on, late by the links' delays.
 
@@ -38,6 +50,7 @@
         self.runs = {}
         self.used_vms = {}
         self.accepted = {}
+        self.attempts = []
         self.strays = {}
         self.lines = []
         self.broken = []
@@ -158,6 +171,21 @@
         self.broken.append((rule, text))
         self.note("BROKEN %s %s" % (rule, text))
 
+    def note_attempt(self):
+        self.attempts.append(Attempt(self.loop.time()))
+        return self.attempts[-1]
+
+    def check_recovery(self, back_at):
+        """RECOVER, once all machines are back after a final fault."""
+        late = [each.is_served for each in self.attempts
+                if each.sent_at > back_at + RECOVERY_SECONDS]
+        self.note("of %d requests sent later than %d s after the machines "
+                  "were back, %d were served" % (
+                      len(late), RECOVERY_SECONDS, sum(late)))
+        if sum(late) < LEAST_SERVED * len(late):
+            self.violate("RECOVER", "%d of %d requests were served" % (
+                sum(late), len(late)))
+
     def note_sent(self, flow, request, kind):
         self.sent_ids.add(request)
         self.count("sent")
@@ -191,6 +219,14 @@
         self.accepted.setdefault(packet.flow(), []).append(host)
         self.note("opening of %s:%d taken by %s" % (
             packet.src, packet.sport, host.name))
+        flow = self.flows.get(packet.flow())
+        is_late = flow is not None and host.drains_since is not None and \
+            flow.began_at > host.drains_since + DRAIN_SECONDS
+        if is_late:
+            self.violate("DRAIN", "%s took an opening sent %.1f s after the "
+                         "store had its draining, through %s" % (
+                             host.name, flow.began_at - host.drains_since,
+                             self.used_vms[packet.flow()].name))
 
     def note_altered(self, host, packet):
         self.violate("UNASKED", "%s got an altered packet" % host.name)
