--- a/review/standins/callers.py
+++ b/review/standins/callers.py
@@ -31,6 +31,8 @@
         self.received = 0
         self.echo = 0
         self.host = None
+        # When the host had the end of the handshake.
+        self.host_opened_at = None
         self.is_open = False
         self.is_over = False
         self.is_closed_by_host = False
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -75,8 +75,6 @@
         self.process = None
         self.is_used = False
         self.misses = 0
-        self.started_at = None
-        self.disturbed_at = None
 
     def start(self):
         run = self.deployment.role["run"].replace(
--- a/review/standins/network.py
+++ b/review/standins/network.py
@@ -241,7 +241,7 @@
     def note_reset(self, flow, host):
         if not flow.is_open:
             return
-        at = getattr(flow, "host_opened_at", None)
+        at = flow.host_opened_at
         holder = flow.host
         is_own = host is holder
         vm = self.used_vms.get(flow.key())
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -17,7 +17,6 @@
         self.events = []
         self.revision = 100
         self.changed = asyncio.Event()
-        self.connections = set()
         self.server = None
 
     async def listen(self, address, port):
@@ -47,7 +46,6 @@
         self.changed = asyncio.Event()
 
     async def serve(self, reader, writer):
-        self.connections.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -62,7 +60,6 @@
         except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
             pass
         finally:
-            self.connections.discard(writer)
             writer.close()
 
     async def answer(self, target):
