Store mirror: Leave out entries of services that no configuration names

Callers saw: once another writer had put one entry of 1 MiB below servers/, openings went to upstreams that drained or had ended, and after a restart of all VMs nobody was served. Cause: the reader took any well-formed entry for an upstream and copied its service's name into the document of all upstreams. The document exceeded the 1 MiB that VMs accept, and was refused whole and without a log line, with all changes that came after. Ruled out: a larger limit, as more entries reach any limit; leaving entries out on each VM, as the document would go on carrying them; keeping what is left out in memory for a later configuration, as its size is another writer's, and a reader that goes on from a peer's documents lacks it. Change: the document of a revision has the entries whose service the configuration of that revision names. A configuration that names a new service makes the reader read everything again; one that drops a name removes its upstreams (flows stay on them for the retention of 90 s). The entries and the configuration of a complete read are taken in together, and read again if the configuration is the newer one, so that a version keeps having one content. A failure domain's name is bounded, and a text that is too long is reported.

--- a/libraries/event/platform_called.hpp
+++ b/libraries/event/platform_called.hpp
@@ -20,6 +20,9 @@
     lost_history,
     /// Everything, as calls for changes failed time and again.
     repeated_failures,
+    /// Everything, as the configuration names a service that it did not name
+    /// before, and entries of that service were left out until now.
+    new_service,
 };
 
 [[nodiscard]] constexpr std::string_view to_text(platform_call_reason reason)
@@ -34,6 +37,8 @@
         return "lost_history";
     case platform_call_reason::repeated_failures:
         return "repeated_failures";
+    case platform_call_reason::new_service:
+        return "new_service";
     }
     return "unknown";
 }
--- a/libraries/versions/version_store.cpp
+++ b/libraries/versions/version_store.cpp
@@ -185,7 +185,7 @@
     auto const is_usable =
         is_listed_name(event.name) && event.text.size() <= maximum_text_bytes;
     if (!is_usable)
-        this->fetches.fail(event.name, event.source);
+        this->reject_text(event, effects);
     else if (is_lower)
         this->fetches.fail_lower(event.name, event.source, event.version);
     else if (this->is_useful({event.name, event.version}))
@@ -193,6 +193,23 @@
     this->start_fetches(now, effects);
 }
 
+void version_store::reject_text(
+    document_fetched const& event, effect_list& effects)
+{
+    this->fetches.fail(event.name, event.source);
+    document_stamp const rejected{event.name, event.version};
+    if (!is_listed_name(event.name) || this->reported_too_long == rejected)
+        return;
+    this->reported_too_long = rejected;
+    effects.push_back(report{
+        report_kind::document_rejected,
+        event.name,
+        {},
+        {{"version", std::to_string(event.version.value())},
+         {"error", "too_long"},
+         {"bytes", std::to_string(event.text.size())}}});
+}
+
 void version_store::start_fetches(time_point now, effect_list& effects)
 {
     auto const first = static_cast<std::ptrdiff_t>(effects.size());
--- a/libraries/versions/version_store.hpp
+++ b/libraries/versions/version_store.hpp
@@ -214,6 +214,7 @@
         effect_list& effects);
     void store_fetched(
         time_point now, document_fetched const& event, effect_list& effects);
+    void reject_text(document_fetched const& event, effect_list& effects);
     void start_fetches(time_point now, effect_list& effects);
     [[nodiscard]] bool is_from_own_domain(std::optional<vm_id> source) const;
     void start_dissemination(
@@ -272,6 +273,8 @@
     /// all documents of the listing are held here.
     std::optional<document_listing> pending_completeness;
     platform_access access = platform_access::none;
+    /// The text that was last reported as too long; each retry would report it.
+    std::optional<document_stamp> reported_too_long;
     /// The reader role that was last reported to operators.
     bool was_reported_as_reader = false;
     bool has_peer_answered = false;
--- a/tests/users_platform/test_metadata_store_client.cpp
+++ b/tests/users_platform/test_metadata_store_client.cpp
@@ -314,6 +314,31 @@
     cr_expect(upstreams[0].instance == instance_number(2));
 }
 
+// Guards against upstreams that registered before their service got a route
+// and are never used, as no watch shows their entries again.
+Test(metadata_store_client, a_new_service_leads_to_a_complete_read)
+{
+    fixture bench;
+    (void)bench.watch(0);
+    std::string value = make_value("10.0.0.2:80", "ready");
+    value.replace(value.find("listings"), 8, "offers");
+    auto const entry = make_written("servers/i-2", 11, value);
+    auto const naming = make_written(
+        "op/config", 12,
+        make_configuration(
+            15, make_route(443, "listings") + "," + make_route(444, "offers")));
+    bench.store.script(
+        "kv-range",
+        {{200, make_page("items", {make_upstream(1, 4), entry}, 12)}});
+    bench.store.script("operators", {{200, make_page("items", {naming}, 12)}});
+    bench.store.script(
+        "kv-watch", {{200, make_page("events", {entry, naming}, 12)},
+                     {200, make_page("events", {}, 12)}});
+    auto const after = bench.watch(10);
+    cr_expect_eq(version_of(after, route_document_name).value(), 15);
+    cr_expect_eq(bench.fetch_upstreams().upstreams.size(), 2);
+}
+
 Test(metadata_store_client, reads_page_after_page)
 {
     fixture bench;
--- a/tests/users_platform/test_store_mirror.cpp
+++ b/tests/users_platform/test_store_mirror.cpp
@@ -46,16 +46,53 @@
     return listing.upstreams;
 }
 
-void apply_one(store_mirror& mirror, store_item const& item)
+mirror_outcome apply_one(store_mirror& mirror, store_item const& item)
 {
-    mirror.apply({&item, 1});
+    return mirror.apply({&item, 1});
+}
+
+/// A configuration that names this service alone.
+store_item make_configuration_item(
+    std::uint64_t revision,
+    std::uint64_t version,
+    std::string const& service = "listings")
+{
+    return make_item(
+        "op/config", revision,
+        make_configuration(version, make_route(443, service)));
+}
+
+/// A complete read of upstreams. The configuration is as old as can be.
+void read_upstreams(store_mirror& mirror, store_page const& upstreams)
+{
+    auto const outcome = mirror.replace(
+        upstreams, {{make_configuration_item(0, 1)}, store_revision(0)});
+    cr_assert(outcome == mirror_outcome::taken_in);
+}
+
+/// A complete read of what operators wrote, without upstreams.
+void read_operator_items(store_mirror& mirror, store_page const& items)
+{
+    auto const outcome = mirror.replace({{}, items.revision}, items);
+    cr_assert(outcome == mirror_outcome::taken_in);
+}
+
+/// The entry of an upstream of that service.
+store_item make_entry_of(
+    std::string const& service, std::string const& key, std::uint64_t revision)
+{
+    std::string value = make_value("10.0.0.1:80", "ready");
+    std::string const sample = "listings";
+    value.replace(value.find(sample), sample.size(), service);
+    return make_item(key, revision, value);
 }
 
 /// A mirror that has read two upstreams at revision 10.
 store_mirror make_mirror()
 {
     store_mirror mirror;
-    mirror.replace_upstreams(
+    read_upstreams(
+        mirror,
         {{make_upstream_item(1, 4, "ready"), make_upstream_item(2, 7, "ready")},
          store_revision(10),
          false});
@@ -74,12 +111,9 @@
     {
         std::uint64_t const revision = this->states.size();
         auto state = this->states.back();
-        int const number = 1 + static_cast<int>(this->random() % 5);
-        auto item = make_upstream_item(
-            number, revision, this->random() % 3 == 0 ? "draining" : "ready",
-            static_cast<int>(revision));
-        if (this->random() % 3 == 0)
-            item.value.reset();
+        auto item = this->random() % 8 == 0
+                        ? this->choose_configuration(revision)
+                        : this->choose_entry(revision);
         state.erase(item.key);
         if (item.value)
             state.emplace(item.key, item);
@@ -98,7 +132,7 @@
     [[nodiscard]] store_page read(std::uint64_t at, std::uint64_t& seen)
     {
         store_page all{{}, store_revision(at), false};
-        std::string after;
+        std::string after = "servers/";
         for (std::uint64_t now = at;; now = this->later(now))
         {
             seen = now;
@@ -113,12 +147,45 @@
         }
     }
 
+    /// What operators wrote, at that revision.
+    [[nodiscard]] store_page read_operator_items(std::uint64_t at) const
+    {
+        auto const found = this->states[at].find("op/config");
+        if (found == this->states[at].end())
+            return {{}, store_revision(at)};
+        return {{found->second}, store_revision(at)};
+    }
+
     [[nodiscard]] store_item const& event(std::uint64_t revision) const
     {
         return this->events[revision - 1];
     }
 
 private:
+    store_item choose_entry(std::uint64_t revision)
+    {
+        int const number = 1 + static_cast<int>(this->random() % 5);
+        auto item = make_upstream_item(
+            number, revision, this->random() % 3 == 0 ? "draining" : "ready",
+            static_cast<int>(revision));
+        if (number > 3)
+            item.value->replace(item.value->find("listings"), 8, "offers");
+        if (this->random() % 3 == 0)
+            item.value.reset();
+        return item;
+    }
+
+    /// Names one of the two services, or both.
+    store_item choose_configuration(std::uint64_t revision)
+    {
+        std::string const routes[] = {
+            make_route(443, "listings"), make_route(444, "offers"),
+            make_route(443, "listings") + "," + make_route(444, "offers")};
+        return make_item(
+            "op/config", revision,
+            make_configuration(revision, routes[this->random() % 3]));
+    }
+
     std::uint64_t later(std::uint64_t now)
     {
         return std::min(this->revision(), now + this->random() % 3);
@@ -140,15 +207,25 @@
     void read_all(history& store, std::uint64_t at)
     {
         std::uint64_t last_page = 0;
-        this->mirror.replace_upstreams(store.read(at, last_page));
+        auto const upstreams = store.read(at, last_page);
+        auto const outcome = this->mirror.replace(
+            upstreams, store.read_operator_items(last_page));
+        if (outcome == mirror_outcome::needs_complete_read)
+            return this->read_all(store, last_page);
         this->revision = at;
         this->seen = std::max(this->seen, last_page);
     }
 
-    void watch(history const& store, std::uint64_t until)
+    void watch(history& store, std::uint64_t until)
     {
         while (this->revision < until)
-            apply_one(this->mirror, store.event(++this->revision));
+        {
+            auto const outcome =
+                apply_one(this->mirror, store.event(this->revision + 1));
+            if (outcome == mirror_outcome::needs_complete_read)
+                return this->read_all(store, until);
+            ++this->revision;
+        }
         this->seen = std::max(this->seen, this->revision);
     }
 };
@@ -196,7 +273,7 @@
         store_mirror mirror = make_mirror();
         auto const before = mirror.upstreams_version();
         auto const content = content_of(mirror);
-        apply_one(mirror, item);
+        (void)apply_one(mirror, item);
         cr_expect_eq(mirror.upstreams_version() > before, is_news, "%s", name);
         cr_expect_eq(content_of(mirror) != content, is_news, "%s", name);
     }
@@ -217,34 +294,128 @@
     {
         store_mirror watched = make_mirror();
         auto const before = watched.upstreams_version();
-        apply_one(watched, item);
+        (void)apply_one(watched, item);
         cr_expect(watched.upstreams_version() > before);
         store_mirror read = make_mirror();
-        read.replace_upstreams(
-            {{item, make_upstream_item(2, 7, "ready")},
-             store_revision(13),
-             false});
+        read_upstreams(
+            read, {{item, make_upstream_item(2, 7, "ready")},
+                   store_revision(13),
+                   false});
         for (store_mirror* const mirror : {&watched, &read})
         {
             cr_assert_eq(content_of(*mirror).size(), 1);
             cr_expect(content_of(*mirror)[0].instance == instance_number(2));
             cr_expect_eq(mirror->take_rejected().size(), 1);
-            apply_one(*mirror, item);
+            (void)apply_one(*mirror, item);
             cr_expect(mirror->take_rejected().empty(), "told before");
-            apply_one(*mirror, make_upstream_item(1, 14, "ready"));
+            (void)apply_one(*mirror, make_upstream_item(1, 14, "ready"));
             cr_expect_eq(content_of(*mirror).size(), 2);
-            apply_one(*mirror, item);
+            (void)apply_one(*mirror, item);
             cr_expect_eq(mirror->take_rejected().size(), 1, "bad again");
         }
     }
 }
 
+// Guards against entries of another writer that make the document of upstreams
+// longer than VMs accept, so that they take in no change any more.
+Test(store_mirror, an_entry_of_a_service_without_a_route_stays_out)
+{
+    // As long as a value of the store may be.
+    constexpr std::size_t longest_value = std::size_t{1} << 20;
+    auto const foreign =
+        make_entry_of(std::string(longest_value, 's'), "servers/i-9", 11);
+    auto const drained = make_upstream_item(1, 12, "draining");
+    store_mirror watched = make_mirror();
+    (void)apply_one(watched, foreign);
+    (void)apply_one(watched, drained);
+    store_mirror read = make_mirror();
+    read_upstreams(
+        read, {{drained, make_upstream_item(2, 7, "ready"), foreign},
+               store_revision(13)});
+    for (store_mirror* const mirror : {&watched, &read})
+    {
+        cr_expect_lt(mirror->upstreams_text().size(), 1000);
+        cr_assert_eq(content_of(*mirror).size(), 2);
+        cr_expect(content_of(*mirror)[0].is_draining);
+        auto const rejected = mirror->take_rejected();
+        cr_assert_eq(rejected.size(), 1);
+        cr_expect(rejected[0].fault == store_fault::unknown_service);
+    }
+}
+
+// Guards against an entry whose failure domain's name alone makes the document
+// too long.
+Test(store_mirror, an_entry_with_a_long_domain_name_stays_out)
+{
+    store_mirror mirror = make_mirror();
+    auto item = make_upstream_item(9, 11, "ready");
+    item.value->replace(
+        item.value->find("perth"), 5,
+        std::string(maximum_domain_name_bytes + 1, 'z'));
+    (void)apply_one(mirror, item);
+    cr_expect_eq(content_of(mirror).size(), 2);
+    auto const rejected = mirror.take_rejected();
+    cr_assert_eq(rejected.size(), 1);
+    cr_expect(rejected[0].fault == store_fault::name_too_long);
+}
+
+// Guards against upstreams that registered before their service got a route
+// and are never used.
+Test(store_mirror, a_service_that_is_named_later_brings_its_upstreams)
+{
+    store_mirror mirror = make_mirror();
+    auto const entry = make_entry_of("offers", "servers/i-9", 11);
+    (void)apply_one(mirror, entry);
+    auto const before = mirror.upstreams_version();
+    auto const naming = make_configuration_item(12, 12, "offers");
+    cr_assert(apply_one(mirror, naming) == mirror_outcome::needs_complete_read);
+    cr_expect(mirror.routes_version() == document_version(1));
+    // Read before the configuration was written, this would be a second
+    // content of version 11.
+    cr_expect(
+        mirror.replace(
+            {{entry}, store_revision(11)}, {{naming}, store_revision(12)}) ==
+        mirror_outcome::needs_complete_read);
+    cr_expect(mirror.upstreams_version() == before);
+    cr_expect(
+        mirror.replace(
+            {{entry}, store_revision(12)}, {{naming}, store_revision(12)}) ==
+        mirror_outcome::taken_in);
+    cr_expect(mirror.routes_version() == document_version(12));
+    cr_assert_eq(content_of(mirror).size(), 1);
+    cr_expect(content_of(mirror)[0].instance == instance_number(9));
+    cr_expect(mirror.upstreams_version() > before);
+}
+
+// Guards against upstreams that stay when the configuration no longer names
+// their service: a reader that starts later would have another document.
+Test(store_mirror, upstreams_leave_with_the_name_of_their_service)
+{
+    store_mirror mirror = make_mirror();
+    std::string const both =
+        make_route(443, "listings") + "," + make_route(444, "offers");
+    (void)mirror.replace(
+        {{make_upstream_item(1, 4, "ready"),
+          make_entry_of("offers", "servers/i-9", 5)},
+         store_revision(12)},
+        {{make_item("op/config", 12, make_configuration(12, both))},
+         store_revision(12)});
+    cr_assert_eq(content_of(mirror).size(), 2);
+    cr_expect(
+        apply_one(mirror, make_configuration_item(14, 14, "listings")) ==
+        mirror_outcome::taken_in);
+    cr_assert_eq(content_of(mirror).size(), 1);
+    cr_expect(content_of(mirror)[0].instance == instance_number(1));
+    cr_expect(mirror.upstreams_version() == document_version(14));
+}
+
 // Symptom: all upstreams are lost. Sequence: two keys end with the same number.
 // Cause: a document with both cannot be read by any VM.
 Test(store_mirror, of_two_keys_with_one_number_the_first_counts)
 {
     store_mirror mirror = make_mirror();
-    mirror.replace_upstreams(
+    read_upstreams(
+        mirror,
         {{make_upstream_item(1, 4, "ready"),
           make_item("servers/z-1", 9, make_value("10.0.0.9:80", "ready"))},
          store_revision(13),
@@ -259,8 +430,8 @@
 Test(store_mirror, a_configuration_that_cannot_be_read_leaves_the_old_one)
 {
     store_mirror mirror = make_mirror();
-    apply_one(mirror, make_item("op/config", 11, make_configuration(12)));
-    apply_one(mirror, make_item("op/config", 12, "garbage"));
+    (void)apply_one(mirror, make_item("op/config", 11, make_configuration(12)));
+    (void)apply_one(mirror, make_item("op/config", 12, "garbage"));
     cr_expect(mirror.routes_version() == document_version(12));
     cr_expect_eq(mirror.take_rejected().size(), 1);
 }
@@ -273,11 +444,11 @@
     auto value = make_value("10.0.0.1:80", "ready");
     value.insert(1, "\"born\":1772409600123,");
     auto const before = mirror.upstreams_version();
-    apply_one(mirror, make_item("servers/i-1", 11, value));
+    (void)apply_one(mirror, make_item("servers/i-1", 11, value));
     cr_expect(mirror.upstreams_version() > before);
     cr_expect(content_of(mirror)[0].life == incarnation(1772409600123));
     auto const after = mirror.upstreams_version();
-    apply_one(mirror, make_item("servers/i-1", 12, value));
+    (void)apply_one(mirror, make_item("servers/i-1", 12, value));
     cr_expect(mirror.upstreams_version() == after);
 }
 
@@ -285,14 +456,15 @@
 {
     store_mirror mirror = make_mirror();
     auto const before = mirror.upstreams_version();
-    mirror.replace_upstreams(
+    read_upstreams(
+        mirror,
         {{make_upstream_item(2, 7, "ready")}, store_revision(20), false});
     cr_assert_eq(content_of(mirror).size(), 1);
     cr_expect(content_of(mirror)[0].instance == instance_number(2));
     cr_expect(mirror.upstreams_version() > before);
 
     store_mirror empty;
-    empty.replace_upstreams({{}, store_revision(5), false});
+    read_upstreams(empty, {{}, store_revision(5), false});
     cr_expect(empty.upstreams_version() == document_version(5));
     cr_expect(content_of(empty).empty());
 }
@@ -301,14 +473,15 @@
 {
     store_mirror mirror;
     cr_expect(mirror.routes_version() == document_version());
-    apply_one(mirror, make_item("op/config", 4, make_configuration(12)));
+    read_operator_items(
+        mirror, {{make_configuration_item(4, 12)}, store_revision(4)});
     cr_expect(mirror.routes_version() == document_version(12));
     auto const text = mirror.routes_text();
     cr_expect_eq(decode_routes(text).routes.size(), 1);
     apply_one(
         mirror,
         make_item("op/config", 5, R"({"configVersion":11,"routes":[]})"));
-    apply_one(mirror, make_item("op/config", 6, std::nullopt));
+    (void)apply_one(mirror, make_item("op/config", 6, std::nullopt));
     cr_expect(mirror.routes_version() == document_version(12));
     cr_expect_eq(mirror.routes_text(), text);
 }
@@ -327,9 +500,9 @@
         if (random() % 4 == 0)
             item.value.reset();
         if (random() % 8 == 0)
-            mirror.replace_upstreams({{}, store_revision(revision), false});
+            read_upstreams(mirror, {{}, store_revision(revision), false});
         else
-            apply_one(mirror, item);
+            (void)apply_one(mirror, item);
         cr_assert(mirror.upstreams_version() >= before, "round %d", round);
         before = mirror.upstreams_version();
     }
@@ -398,10 +571,10 @@
 {
     store_mirror mirror;
     cr_expect(mirror.evacuations_version() == document_version());
-    mirror.replace_operator_items(
-        {{make_evacuation("perth", 4),
-          make_item("op/config", 5, make_configuration(12))},
-         store_revision(10)});
+    read_operator_items(
+        mirror, {{make_evacuation("perth", 4),
+                  make_item("op/config", 5, make_configuration(12))},
+                 store_revision(10)});
     cr_expect(evacuated_in(mirror) == std::vector<std::string>{"perth"});
     cr_expect(mirror.evacuations_version() == document_version(10));
     cr_expect(mirror.routes_version() == document_version(12));
@@ -409,16 +582,16 @@
     store_item const changes[] = {
         make_evacuation("lanark", 11), make_evacuation("lanark", 12, {}),
         make_evacuation("lanark", 13), make_evacuation("perth", 14, {})};
-    mirror.apply(changes);
+    (void)mirror.apply(changes);
     cr_expect(evacuated_in(mirror) == std::vector<std::string>{"lanark"});
     cr_expect(mirror.evacuations_version() == document_version(14));
     // Each of these came before what was read.
-    mirror.apply(changes);
+    (void)mirror.apply(changes);
     cr_expect(evacuated_in(mirror) == std::vector<std::string>{"lanark"});
-    mirror.replace_operator_items(
-        {{make_evacuation("perth", 4)}, store_revision(10)});
+    read_operator_items(
+        mirror, {{make_evacuation("perth", 4)}, store_revision(10)});
     cr_expect(evacuated_in(mirror) == std::vector<std::string>{"lanark"});
-    mirror.replace_operator_items({{}, store_revision(20)});
+    read_operator_items(mirror, {{}, store_revision(20)});
     cr_expect(evacuated_in(mirror).empty());
     cr_expect(mirror.evacuations_version() == document_version(20));
 }
@@ -432,7 +605,7 @@
     store_item const changes[] = {
         make_evacuation("", 10), bad, make_evacuation("lanark", 12, "no json"),
         make_evacuation("atlantis", 13)};
-    mirror.apply(changes);
+    (void)mirror.apply(changes);
     std::vector<std::string> const expected{"atlantis", "lanark", "perth"};
     cr_expect(evacuated_in(mirror) == expected);
     auto const rejected = mirror.take_rejected();
@@ -457,7 +630,7 @@
         std::make_shared<versioned_listing<evacuation_listing> const>(known);
     cr_expect(mirror.go_on_from(snapshot));
     cr_expect(evacuated_in(mirror) == std::vector<std::string>{"perth"});
-    apply_one(mirror, make_evacuation("perth", 21, {}));
+    (void)apply_one(mirror, make_evacuation("perth", 21, {}));
     cr_expect(evacuated_in(mirror).empty());
 }
 
--- a/tests/versions/test_single_store.cpp
+++ b/tests/versions/test_single_store.cpp
@@ -2,6 +2,7 @@
 
 #include <versions/version_store.hpp>
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace cairnhead;
@@ -212,3 +213,24 @@
     }
     cr_expect_eq(requests, 2);
 }
+
+// Guards against a document that no VM takes in any more while nothing tells
+// operators why.
+Test(single_store, a_text_that_is_too_long_is_reported_once)
+{
+    single_store vm;
+    auto const count_rejections = [&vm]
+    {
+        auto const reports = vm.all_effects<report>();
+        return std::ranges::count(
+            reports, report_kind::document_rejected, &report::kind);
+    };
+    std::string const too_long(maximum_text_bytes + 1, ' ');
+    vm.receive_text(first_peer, 5, too_long);
+    cr_expect_eq(count_rejections(), 1);
+    cr_expect_eq(vm.held_version(), 0);
+    vm.receive_text(second_peer, 5, too_long);
+    cr_expect_eq(count_rejections(), 0);
+    vm.receive_text(first_peer, 6, too_long);
+    cr_expect_eq(count_rejections(), 1);
+}
