--- a/emulator/emulated_traffic.cpp
+++ b/emulator/emulated_traffic.cpp
@@ -1,7 +1,6 @@
 #include <emulator/emulated_traffic.hpp>
 
 #include <algorithm>
-#include <cstring>
 #include <utility>
 
 namespace cairnhead::emulator
@@ -90,17 +89,6 @@
         if (is_taken)
             this->be_reset(*who);
     };
-    ends.read_opening = [this](std::span<std::uint8_t const> bytes)
-        -> std::optional<caller_packet>
-    {
-        std::uint32_t number = 0;
-        std::memcpy(&number, bytes.data(), sizeof(number));
-        if (this->caller_of(flow_number(number)) == nullptr)
-            return std::nullopt;
-        caller_packet opening;
-        opening.flow = flow_number(number);
-        return opening;
-    };
     ends.check = [this](std::uint32_t vm, check_upstream const& wanted)
     {
         this->answer_check(vm, wanted);
@@ -159,9 +147,6 @@
         static_cast<std::uint16_t>(first_port + this->last_flow % ports);
     auto const& routes = this->fleet.registry().routes_now().routes;
     who.route = routes[this->random() % routes.size()];
-    who.opening_bytes.resize(sizeof(std::uint32_t));
-    std::uint32_t const number = who.flow.value();
-    std::memcpy(who.opening_bytes.data(), &number, sizeof(number));
     who.state = caller_state::opening;
     who.tag = upstream_tag();
     who.served_by.reset();
@@ -208,8 +193,7 @@
     this->fabric.send(
         {who.domain,
          who.source,
-         {who.route.address, who.route.port, transport_protocol::tcp},
-         who.opening_bytes},
+         {who.route.address, who.route.port, transport_protocol::tcp}},
         packet);
 }
 
@@ -269,7 +253,7 @@
     }
     // Whatever is answered names its upstream, and the caller goes on with the
     // name that it saw last.
-    who->tag = tag_of(packet.sender);
+    who->tag = packet.tag;
     switch (packet.kind)
     {
     case answer_kind::opened:
@@ -286,7 +270,7 @@
 
 void emulated_traffic::confirm(caller& who, upstream_packet const& packet)
 {
-    who.tag = tag_of(packet.sender);
+    who.tag = packet.tag;
     if (who.state != caller_state::opening)
         return;
     who.served_by = packet.sender;
--- a/emulator/emulated_traffic.hpp
+++ b/emulator/emulated_traffic.hpp
@@ -79,7 +79,6 @@
         std::uint32_t attempts = 0;
         /// Grows with each thing that it waits for: older timers do nothing.
         std::uint32_t step = 0;
-        std::vector<std::uint8_t> opening_bytes;
     };
 
     using caller_action = void (emulated_traffic::*)(caller&);
--- a/emulator/emulated_upstream.cpp
+++ b/emulator/emulated_upstream.cpp
@@ -59,6 +59,7 @@
         return this->send(packet, answer_kind::reset, 0);
     }
     known->second.is_confirmed = true;
+    known->second.tag = packet.tag;
     known->second.acknowledged = packet.progress.acknowledged;
     if (packet.progress.has_data)
         this->take_data(packet, known->second);
@@ -71,13 +72,16 @@
     bool const is_new = !this->connections.contains(packet.flow);
     connection& opened = this->connections[packet.flow];
     if (!opened.is_confirmed)
+    {
         opened.next_sequence = this->first_sequence() + 1;
+        opened.tag = packet.tag;
+    }
     if (!is_new)
         return this->send(packet, answer_kind::opened, this->first_sequence());
     opened.acknowledged = this->first_sequence();
     this->send_until_acknowledged(
         {packet.flow, this->self.instance, answer_kind::opened,
-         this->first_sequence(), 0},
+         this->first_sequence(), 0, opened.tag},
         1, 0);
 }
 
@@ -92,7 +96,9 @@
             packet.sequence + bytes - known->second.acknowledged) > 0;
     if (!is_wanted || attempt > most_repetitions)
         return;
-    this->act.send(packet);
+    upstream_packet sent = packet;
+    sent.tag = known->second.tag;
+    this->act.send(sent);
     this->time.add(
         this->time.now() +
             std::min(first_repetition * (1 << attempt), longest_repetition),
@@ -143,7 +149,7 @@
         known->second.next_sequence += answer_bytes;
         this->send_until_acknowledged(
             {done.flow, this->self.instance, answer_kind::answered, sequence,
-             done.request},
+             done.request, known->second.tag},
             answer_bytes, 0);
     }
     this->start_work();
@@ -152,7 +158,8 @@
 void emulated_upstream::send(
     caller_packet const& to, answer_kind kind, std::uint32_t sequence) const
 {
-    this->act.send({to.flow, this->self.instance, kind, sequence, to.request});
+    this->act.send(
+        {to.flow, this->self.instance, kind, sequence, to.request, to.tag});
 }
 
 std::uint32_t emulated_upstream::first_sequence() const
--- a/emulator/emulated_upstream.hpp
+++ b/emulator/emulated_upstream.hpp
@@ -71,6 +71,8 @@
     struct connection
     {
         bool is_confirmed = false;
+        /// Of the last packet that reached the upstream.
+        upstream_tag tag;
         /// Number of the next byte that it sends.
         std::uint32_t next_sequence = 0;
         /// Up to here the caller has what was sent.
--- a/emulator/flow_packet.hpp
+++ b/emulator/flow_packet.hpp
@@ -45,6 +45,8 @@
     /// Number of its first byte.
     std::uint32_t sequence = 0;
     std::uint32_t request = 0;
+    /// The tag of the last packet of the flow that reached the upstream.
+    upstream_tag tag{};
 };
 
 /// Bytes of a request and of an answer. Each flow's numbers begin at zero with
--- a/emulator/packet_fabric.cpp
+++ b/emulator/packet_fabric.cpp
@@ -2,6 +2,10 @@
 
 #include <base/hash.hpp>
 
+#include <array>
+#include <cstring>
+#include <span>
+#include <type_traits>
 #include <utility>
 
 namespace cairnhead::emulator
@@ -35,6 +39,24 @@
     return flow_id(hash_pair(number(from.source), number(from.destination)));
 }
 
+static_assert(std::is_trivially_copyable_v<caller_packet>);
+
+std::array<std::uint8_t, sizeof(caller_packet)>
+bytes_of(caller_packet const& packet)
+{
+    std::array<std::uint8_t, sizeof(caller_packet)> bytes{};
+    std::memcpy(bytes.data(), &packet, bytes.size());
+    return bytes;
+}
+
+/// Precondition: the bytes are those of a packet.
+caller_packet packet_from(std::span<std::uint8_t const> bytes)
+{
+    caller_packet packet;
+    std::memcpy(&packet, bytes.data(), sizeof(packet));
+    return packet;
+}
+
 } // namespace
 
 packet_fabric::packet_fabric(
@@ -128,8 +150,8 @@
     arrived.tag = packet.tag;
     arrived.progress = packet.progress;
     arrived.waited = now - sent_at - way;
-    if (packet.phase == packet_phase::opening)
-        arrived.opening_bytes = from.opening_bytes;
+    auto const bytes = bytes_of(packet);
+    arrived.bytes = bytes;
     this->fleet.pass(vm, arrived);
     this->in_flight.erase(token);
 }
@@ -138,12 +160,11 @@
 {
     if (auto const* const sent = std::get_if<send_tagged>(&wanted))
         this->hand_on(
-            vm, sent->target, this->in_flight.at(sent->token.value()));
-    if (auto const* const repeated = std::get_if<repeat_opening>(&wanted))
-    {
-        if (auto const opening = this->ends.read_opening(repeated->bytes))
-            this->hand_on(vm, repeated->target, *opening);
-    }
+            vm, sent->target, sent->tag,
+            this->in_flight.at(sent->token.value()));
+    if (auto const* const copied = std::get_if<send_copy>(&wanted))
+        this->hand_on(
+            vm, copied->target, copied->tag, packet_from(copied->bytes));
     if (auto const* const refused = std::get_if<refuse_opening>(&wanted))
         this->ends.refuse(this->in_flight.at(refused->token.value()).flow);
     if (auto const* const reset = std::get_if<reset_known_flow>(&wanted))
@@ -153,14 +174,19 @@
 }
 
 void packet_fabric::hand_on(
-    std::uint32_t vm, tagged_target const& target, caller_packet const& packet)
+    std::uint32_t vm,
+    tagged_target const& target,
+    upstream_tag tag,
+    caller_packet const& packet)
 {
+    caller_packet handed_on = packet;
+    handed_on.tag = tag;
     for (std::uint32_t copy = this->copies(); copy > 0; --copy)
         this->fleet.schedule().add(
             this->fleet.now() + way,
-            [this, vm, instance = target.instance, packet]
+            [this, vm, instance = target.instance, handed_on]
             {
-                this->ends.reach_upstream(vm, instance, packet);
+                this->ends.reach_upstream(vm, instance, handed_on);
             });
 }
 
--- a/emulator/packet_fabric.hpp
+++ b/emulator/packet_fabric.hpp
@@ -18,8 +18,6 @@
     std::uint32_t domain = 0;
     endpoint source;
     endpoint destination;
-    /// Of its openings.
-    std::vector<std::uint8_t> opening_bytes;
 };
 
 /// Where the fabric's packets end.
@@ -31,9 +29,6 @@
     std::function<void(flow_number)> refuse;
     std::function<void(endpoint const& source, std::uint32_t acknowledged)>
         reset;
-    /// The packet of an opening that a VM sends again.
-    std::function<std::optional<caller_packet>(std::span<std::uint8_t const>)>
-        read_opening;
     std::function<void(std::uint32_t vm, check_upstream const&)> check;
 };
 
@@ -78,6 +73,7 @@
     void hand_on(
         std::uint32_t vm,
         tagged_target const& target,
+        upstream_tag tag,
         caller_packet const& packet);
 
     emulated_fleet& fleet;
--- a/libraries/event/effect.hpp
+++ b/libraries/event/effect.hpp
@@ -99,8 +99,15 @@
     incarnation life{};
 };
 
-/// Send an opening that arrived earlier once more. No packet waits for it.
-struct repeat_opening
+/// The reducer has kept a copy of the packet, which it sends by `send_copy` or
+/// drops later.
+struct keep_copy
+{
+    packet_token token;
+};
+
+/// Send the copy of a packet that arrived earlier. No packet waits for it.
+struct send_copy
 {
     std::vector<std::uint8_t> bytes;
     tagged_target target;
@@ -258,7 +265,8 @@
     send_to_upstream,
     send_tagged,
     reset_known_flow,
-    repeat_opening,
+    keep_copy,
+    send_copy,
     check_upstream,
     send_to_peer,
     refuse_opening,
--- a/libraries/event/event.hpp
+++ b/libraries/event/event.hpp
@@ -59,9 +59,9 @@
     endpoint source{};
     /// With a tag only.
     flow_progress progress{};
-    /// With a tag only: the whole of an opening, to be sent again to another
-    /// upstream. Valid during the call.
-    std::span<std::uint8_t const> opening_bytes{};
+    /// With a tag only: the whole packet, of which a copy may be sent later.
+    /// Valid during the call.
+    std::span<std::uint8_t const> bytes{};
     /// With a tag only: how long it waited in this VM's socket.
     duration waited{};
 };
--- a/libraries/event/flow_decision.hpp
+++ b/libraries/event/flow_decision.hpp
@@ -52,6 +52,11 @@
     upstream_left,
     /// The packet's tag names the upstream.
     named_by_tag,
+    /// Another VM told the flow's upstream.
+    named_by_peer,
+    /// No other VM told the flow's upstream, so the provisional tag was
+    /// believed.
+    named_by_provisional_tag,
     /// No upstream of the route's pool may take a flow.
     no_upstream,
     /// No upstream of the route's pool is outside of failure domains that are
--- a/libraries/observability/effect_text.hpp
+++ b/libraries/observability/effect_text.hpp
@@ -217,6 +217,10 @@
         return "upstream_left";
     case flow_rule::named_by_tag:
         return "named_by_tag";
+    case flow_rule::named_by_peer:
+        return "named_by_peer";
+    case flow_rule::named_by_provisional_tag:
+        return "named_by_provisional_tag";
     case flow_rule::no_upstream:
         return "no_upstream";
     case flow_rule::no_route:
--- a/libraries/protocol/control_message.hpp
+++ b/libraries/protocol/control_message.hpp
@@ -2,6 +2,7 @@
 
 #include <protocol/member_update.hpp>
 #include <protocol/pin_claim.hpp>
+#include <registry/tag.hpp>
 
 #include <cstdint>
 #include <string>
@@ -195,6 +196,34 @@
     bool operator==(upstream_report_listing const&) const = default;
 };
 
+/// Which upstream has this flow? A packet of it reached the sender, which does
+/// not know the flow, and the packet's tag is provisional.
+struct flow_lookup
+{
+    flow_id flow;
+    /// Of the upstream that the packet's tag names. It has the flow unless the
+    /// receiver knows better.
+    upstream_tag named;
+    /// The packet's acknowledgement number, which tells the flow from an
+    /// earlier one between the same ports.
+    std::uint32_t acknowledged = 0;
+
+    bool operator==(flow_lookup const&) const = default;
+};
+
+/// This upstream has the flow: the answer to `flow_lookup`. Sent unasked for a
+/// flow whose opening several upstreams may hold, when its caller has confirmed
+/// one of them.
+struct flow_binding
+{
+    flow_id flow;
+    upstream_tag upstream;
+    /// As in `flow_lookup`.
+    std::uint32_t acknowledged = 0;
+
+    bool operator==(flow_binding const&) const = default;
+};
+
 /// Everything one VM can say to another besides callers' packets.
 using control_body = std::variant<
     ping,
@@ -208,7 +237,9 @@
     reading_heartbeat,
     join_request,
     join_referral,
-    reading_attempt>;
+    reading_attempt,
+    flow_lookup,
+    flow_binding>;
 
 struct control_message
 {
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -257,6 +257,8 @@
     vm_id const sender = body.message.sender;
     if (this->has_joined)
         this->members.heard_from(now, sender);
+    else
+        this->note_early_peer(sender);
     if (auto const domain = this->members.domain_of(sender))
         this->tagged.record_domain_message(now, *domain);
     std::visit(
@@ -347,6 +349,7 @@
             continue;
         // Their failure domains are not known before they are members.
         seeds.push_back({seed, failure_domain_id()});
+        this->note_early_peer(seed);
     }
     this->versions.set_peers(now, seeds);
     // Peers and the platform are asked as the process starts and not with the
@@ -553,6 +556,18 @@
     this->placer.receive(now, sender, message, out);
 }
 
+void reducer::receive(
+    time_point now, vm_id sender, flow_lookup const& message, effect_list& out)
+{
+    this->tagged.receive(now, sender, message, out);
+}
+
+void reducer::receive(
+    time_point now, vm_id, flow_binding const& message, effect_list& out)
+{
+    this->tagged.receive(now, message, out);
+}
+
 routing_context reducer::context()
 {
     return {this->settings.self, this->members,       this->ownership,
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -143,6 +143,16 @@
         vm_id sender,
         upstream_report_listing const& message,
         effect_list& out);
+    void receive(
+        time_point now,
+        vm_id sender,
+        flow_lookup const& message,
+        effect_list& out);
+    void receive(
+        time_point now,
+        vm_id sender,
+        flow_binding const& message,
+        effect_list& out);
 
     [[nodiscard]] bool is_tagged() const;
     [[nodiscard]] flow_explanation explain_tagged(
@@ -154,6 +164,8 @@
     void refresh(time_point now, effect_list& out);
     void join_when_caught_up(time_point now, effect_list& out);
     void apply_membership_changes(time_point now);
+    [[nodiscard]] std::vector<vm_id> choose_flow_peers() const;
+    void note_early_peer(vm_id vm);
     void rebuild_ownership_history(
         time_point now, std::span<ownership_candidate const> candidates);
     void apply_document_changes(time_point now);
@@ -184,6 +196,9 @@
     std::uint64_t applied_documents = ~std::uint64_t(0);
     std::vector<vm_id> domain_vms;
     std::vector<vm_id> peer_vms;
+    /// Seeds, and VMs that said something before this VM had joined. Callers'
+    /// packets come that early, too.
+    std::vector<vm_id> early_peers;
     std::vector<vm_id> hints_before_join;
     /// An event that comes after this shows that the process was paused.
     time_point lease_ends_at;
--- a/libraries/reducer/reducer_refresh.cpp
+++ b/libraries/reducer/reducer_refresh.cpp
@@ -9,6 +9,15 @@
 namespace cairnhead
 {
 
+namespace
+{
+
+/// Where the failure domain has fewer other VMs, VMs of other domains are asked
+/// about flows as well.
+constexpr std::size_t enough_flow_peers = 8;
+
+} // namespace
+
 placing_permission reducer::permission(time_point now) const
 {
     if (!this->has_joined)
@@ -108,8 +117,11 @@
     // Ranking all slots takes milliseconds, which a small VM feels as lost
     // time at each join, and nobody owns a flow whose packets carry tags.
     if (this->is_tagged())
-        return this->tagged.set_domain_vms(
-            this->settings.self.id, this->domain_vms);
+    {
+        this->tagged.set_domain_vms(this->settings.self.id, this->domain_vms);
+        this->tagged.set_peers(this->choose_flow_peers());
+        return;
+    }
     std::vector<ownership_candidate> const candidates = this->owners();
     if (this->ownership.is_empty())
         this->rebuild_ownership_history(now, candidates);
@@ -125,6 +137,42 @@
         });
 }
 
+std::vector<vm_id> reducer::choose_flow_peers() const
+{
+    // The fabric moves flows within the failure domain, and to others only
+    // while none of its VMs is in use.
+    std::vector<vm_id> chosen = this->peer_vms;
+    auto const add = [&chosen](vm_id vm)
+    {
+        bool const is_wanted = chosen.size() < enough_flow_peers &&
+                               std::ranges::find(chosen, vm) == chosen.end();
+        if (is_wanted)
+            chosen.push_back(vm);
+    };
+    for (failure_domain_id const domain :
+         this->members.contacts_abroad().domains())
+    {
+        for (domain_contact const& known :
+             this->members.contacts_abroad().of(domain))
+            add(known.id);
+    }
+    for (vm_id const vm : this->early_peers)
+        add(vm);
+    return chosen;
+}
+
+void reducer::note_early_peer(vm_id vm)
+{
+    bool const is_new =
+        vm != this->settings.self.id &&
+        this->early_peers.size() < enough_flow_peers &&
+        std::ranges::find(this->early_peers, vm) == this->early_peers.end();
+    if (!is_new)
+        return;
+    this->early_peers.push_back(vm);
+    this->tagged.set_peers(this->choose_flow_peers());
+}
+
 void reducer::rebuild_ownership_history(
     time_point now, std::span<ownership_candidate const> candidates)
 {
--- a/libraries/registry/tag.hpp
+++ b/libraries/registry/tag.hpp
@@ -25,6 +25,19 @@
     return upstream_tag(low == 0 ? 1 : low);
 }
 
+/// The tag that an opening carries to an upstream, or the upstream's tag for
+/// such a tag. Packets that follow the opening carry the upstream's tag. So the
+/// tag of a caller's packet tells whether its upstream has had a packet of the
+/// flow since the caller confirmed it. Where several upstreams got the opening,
+/// each answers it and repeats the answer, and the caller's packets carry the
+/// provisional tag of any of them. Precondition: the tag is not zero. Thread
+/// safety: no shared state.
+[[nodiscard]] constexpr upstream_tag toggle_provisional(upstream_tag tag)
+{
+    constexpr std::uint32_t provisional_bit = 0x80000000;
+    return upstream_tag(tag.value() ^ provisional_bit);
+}
+
 /// As operators and upstreams write it: `i-7f3a91c2`. No precondition. Thread
 /// safety: no shared state.
 [[nodiscard]] std::string name_of_instance(instance_number instance);
--- a/libraries/runtime/effect_executor.cpp
+++ b/libraries/runtime/effect_executor.cpp
@@ -74,7 +74,12 @@
     this->parts.counters.count_drop(drop_reason::upstream_unreachable);
 }
 
-void effect_executor::carry_out(repeat_opening const& wanted)
+void effect_executor::carry_out(keep_copy const& wanted)
+{
+    static_cast<void>(this->parts.packets.take(wanted.token));
+}
+
+void effect_executor::carry_out(send_copy const& wanted)
 {
     packet_view packet;
     packet.bytes = wanted.bytes;
--- a/libraries/runtime/effect_executor.hpp
+++ b/libraries/runtime/effect_executor.hpp
@@ -52,7 +52,8 @@
     void carry_out(send_to_upstream const& wanted);
     void carry_out(send_tagged const& wanted);
     void carry_out(reset_known_flow const& wanted);
-    void carry_out(repeat_opening const& wanted);
+    void carry_out(keep_copy const& wanted);
+    void carry_out(send_copy const& wanted);
     void carry_out(check_upstream const& wanted);
     void carry_out(send_to_peer const& wanted);
     void carry_out(refuse_opening const& wanted);
--- a/libraries/runtime/reducer_driver.cpp
+++ b/libraries/runtime/reducer_driver.cpp
@@ -40,8 +40,8 @@
     arrived.progress = {
         packet.tcp_sequence, packet.tcp_acknowledgement,
         !packet.payload.empty()};
-    if (packet.tag && packet.phase == packet_phase::opening)
-        arrived.opening_bytes = packet.bytes;
+    if (packet.tag)
+        arrived.bytes = packet.bytes;
     arrived.waited = waited;
     this->decider.apply(this->current_time, arrived, this->made);
 }
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -23,19 +23,6 @@
 organisation_id const registry_organisation =
     make_organisation_id(registry_organisation_name);
 
-/// Largest distance between the acknowledgement numbers of two packets of one
-/// flow; larger than any answer between them. The number of an unrelated flow,
-/// which starts at random, is this close by chance once in two thousand times.
-constexpr std::uint32_t maximum_number_distance = 1U << 20U;
-
-/// Whether both acknowledgement numbers may belong to one flow. TCP's numbers
-/// wrap around.
-bool may_be_same_flow(std::uint32_t acknowledged, std::uint32_t earlier)
-{
-    return acknowledged - earlier + maximum_number_distance <
-           2 * maximum_number_distance;
-}
-
 endpoint address_of(published_route const& route)
 {
     return {route.address, route.port, transport_protocol::tcp};
@@ -147,6 +134,7 @@
 void tag_router::advance(time_point now, effect_list& effects)
 {
     this->pauses.record_event(now);
+    this->release_due(now, effects);
     this->reset_flows_of_replaced(now, effects);
     while (auto due = this->unconfirmed.take_due(now))
         this->retry_opening(now, std::move(*due), effects);
@@ -159,19 +147,22 @@
 {
     if (!this->replaced_upstreams.empty())
         return this->in_force.upstreams_since;
-    auto const retry_at = this->unconfirmed.next_due();
-    auto const verdict_at = this->domains.next_due();
-    if (!retry_at || !verdict_at)
-        return retry_at ? retry_at : verdict_at;
-    return std::min(*retry_at, *verdict_at);
+    std::optional<time_point> earliest;
+    for (auto const& due :
+         {this->unconfirmed.next_due(), this->domains.next_due(),
+          this->held.next_due()})
+    {
+        if (due && (!earliest || *due < *earliest))
+            earliest = due;
+    }
+    return earliest;
 }
 
 void tag_router::route_by_tag(
     time_point now, packet_arrived const& packet, effect_list& effects)
 {
-    tagged_upstream* const upstream =
-        this->upstream_table.find(this->effective_tag(packet));
-    if (upstream == nullptr)
+    named_upstream const named = this->upstream_of(packet);
+    if (named.upstream == nullptr)
     {
         // A reset could end a live flow whose upstream only other VMs know.
         // The caller retransmits its packet, and by then this VM may know the
@@ -179,46 +170,41 @@
         return this->drop(
             packet, drop_reason::unknown_flow, flow_rule::unknown_tag, effects);
     }
-    if (this->upstream_table.is_address_taken_over(*upstream))
-        return this->reset_flow_of_packet(packet, *upstream, effects);
-    this->update_flow(now, packet, *upstream, effects);
-    this->check_now(now, packet, *upstream);
-    send(packet, *upstream, effects);
-}
-
-upstream_tag tag_router::effective_tag(packet_arrived const& packet) const
-{
-    tagged_flow const* const flow = this->flows.find(packet.flow);
-    // Several upstreams may have got this flow's opening, from this VM or from
-    // the VM that placed it. The caller confirmed the answer of one of them. A
-    // late answer of another upstream can change the tag afterwards, and that
-    // upstream would reset a flow that it does not hold. The caller's
-    // acknowledgement numbers show that the flow is the same.
-    bool const is_settled =
-        flow != nullptr && flow->state != tagged_flow_state::opening;
-    bool const is_same_flow =
-        is_settled && flow->progress &&
-        may_be_same_flow(
-            packet.progress.acknowledged, flow->progress->acknowledged);
-    if (is_same_flow && this->upstream_table.find(flow->upstream) != nullptr)
-        return flow->upstream;
-    return *packet.tag;
+    tagged_upstream& upstream = *named.upstream;
+    if (this->upstream_table.is_address_taken_over(upstream))
+    {
+        effects.emplace_back(
+            drop_packet{packet.token, drop_reason::upstream_unreachable});
+        return this->reset_flow_of_packet(packet, upstream, effects);
+    }
+    bool const is_held = named.certainty == tag_certainty::provisional &&
+                         this->hold(now, packet, upstream, effects);
+    if (is_held)
+        return;
+    this->update_flow(now, packet, upstream, named.rule, effects);
+    this->check_now(now, packet, upstream);
+    send(packet, upstream, effects);
 }
 
 void tag_router::update_flow(
     time_point now,
     packet_arrived const& packet,
     tagged_upstream& upstream,
+    flow_rule rule,
     effect_list& effects)
 {
     if (packet.phase == packet_phase::reset)
         return this->remove_flow(packet.flow);
     tagged_flow* const flow =
-        this->find_or_add_flow(now, packet, upstream.tag, effects);
+        this->find_or_add_flow(now, packet, upstream.tag, rule, effects);
     if (flow == nullptr)
         return;
     if (flow->state == tagged_flow_state::opening)
+    {
         this->confirm_opening(now, packet.flow, *flow, upstream, effects);
+        if (flow->is_contested)
+            this->tell_binding(now, packet, effects);
+    }
     this->record_progress(now, packet, *flow, upstream, effects);
     flow->last_packet_at = now;
     if (packet.phase == packet_phase::closing)
@@ -258,6 +244,7 @@
     time_point now,
     packet_arrived const& packet,
     upstream_tag tag,
+    flow_rule rule,
     effect_list& effects)
 {
     tagged_flow* const flow = this->flows.find(packet.flow);
@@ -271,7 +258,7 @@
         this->confirmations.record_unknown_flow();
     if (!was_opening)
         effects.emplace_back(this->make_decision(
-            flow_step::taken_over, flow_rule::named_by_tag, packet.flow,
+            flow_step::taken_over, rule, packet.flow,
             {packet.source, packet.destination},
             this->upstream_table.find(tag)));
     this->remove_flow(packet.flow);
@@ -284,7 +271,8 @@
                       .opened_at = time_point::min(),
                       .expires_at = now + this->idle_timeout(),
                       .progress = {},
-                      .last_packet_at = now});
+                      .last_packet_at = now,
+                      .is_contested = was_opening});
     return this->flows.find(packet.flow);
 }
 
@@ -342,6 +330,7 @@
             this->decrement_flow_count(expired);
         });
     this->upstream_table.forget_old(now);
+    this->bindings.expire(now);
     std::erase_if(
         this->delay_controls,
         [now](auto const& entry)
@@ -469,4 +458,16 @@
         packet.token, {at.address, at.port, at.instance}, upstream.tag});
 }
 
+void tag_router::send_opening(
+    packet_arrived const& packet,
+    tagged_upstream const& upstream,
+    effect_list& effects) const
+{
+    registered_upstream const& at = upstream.registered;
+    effects.emplace_back(send_tagged{
+        packet.token,
+        {at.address, at.port, at.instance},
+        this->upstream_table.opening_tag_of(upstream)});
+}
+
 } // namespace cairnhead
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -6,6 +6,9 @@
 #include <registry/registry_snapshot.hpp>
 #include <tagging/confirmation_tracker.hpp>
 #include <tagging/domain_reachability.hpp>
+#include <tagging/flow_bindings.hpp>
+#include <tagging/held_packets.hpp>
+#include <tagging/message_budget.hpp>
 #include <tagging/pause_detector.hpp>
 #include <tagging/pending_openings.hpp>
 #include <tagging/queue_delay_control.hpp>
@@ -48,7 +51,9 @@
 ///
 /// A flow needs neither an owner nor a replica of its state. Every VM can
 /// route each of its packets by the tag, so planned changes and crashes of VMs
-/// break no flow.
+/// break no flow. Only a provisional tag may name an upstream that does not
+/// hold the flow: it comes from the answer to an opening, and several upstreams
+/// may have got that. A VM that does not know the flow then asks other VMs.
 /// No method has a precondition unless its comment states one; none is
 /// thread-safe: only the reducer's thread calls them.
 class tag_router
@@ -70,14 +75,18 @@
     /// they are not known.
     void set_domain_vms(vm_id self, std::span<vm_id const> vms);
 
+    /// Sets the VMs that are asked about flows, and are told about contested
+    /// ones: those to which flows may move.
+    void set_peers(std::span<vm_id const> peers);
+
     /// Routes a packet; appends exactly one packet effect for its token.
     /// Precondition: the packet carries a tag.
     void
     route(time_point now, packet_arrived const& packet, effect_list& effects);
 
-    /// Does the work that is due: retries openings that no caller confirmed,
-    /// updates which failure domains are reachable, and starts checks of
-    /// upstreams.
+    /// Does the work that is due: sends packets whose lookup was not answered,
+    /// retries openings that no caller confirmed, updates which failure domains
+    /// are reachable, and starts checks of upstreams.
     void advance(time_point now, effect_list& effects);
 
     /// When `advance` has to be called next; nothing if no work is pending.
@@ -90,6 +99,18 @@
     void receive(
         time_point now, upstream_checked const& result, effect_list& effects);
 
+    /// Answers another VM that asks for the upstream of a flow, if it is known.
+    void receive(
+        time_point now,
+        vm_id sender,
+        flow_lookup const& asked,
+        effect_list& effects);
+
+    /// Records the upstream of a flow as another VM told it, and sends the
+    /// flow's packets that waited for it.
+    void
+    receive(time_point now, flow_binding const& told, effect_list& effects);
+
     /// The failure domains whose reachability has come into question since the
     /// last call, and whose VMs therefore have to be probed.
     [[nodiscard]] std::vector<failure_domain_id> take_domains_to_probe();
@@ -132,6 +153,29 @@
         endpoint destination;
     };
 
+    /// Whether another upstream may have got a flow's opening before.
+    enum class opening_history : std::uint8_t
+    {
+        first_offer,
+        offered_before,
+    };
+
+    enum class tag_certainty : std::uint8_t
+    {
+        certain,
+        /// Another upstream may hold the flow, and this VM cannot know.
+        provisional,
+    };
+
+    /// The upstream that holds a flow, as far as this VM knows.
+    struct named_upstream
+    {
+        /// Null if the packet's tag names none.
+        tagged_upstream* upstream = nullptr;
+        flow_rule rule = flow_rule::named_by_tag;
+        tag_certainty certainty = tag_certainty::certain;
+    };
+
     void route_opening(
         time_point now, packet_arrived const& packet, effect_list& effects);
     void route_retransmission(
@@ -174,7 +218,8 @@
         time_point now,
         flow_id flow,
         flow_ends const& ends,
-        tagged_upstream& chosen);
+        tagged_upstream& chosen,
+        opening_history history);
     void schedule_retry(time_point now, packet_arrived const& packet);
     void retry_opening(
         time_point now, pending_opening opening, effect_list& effects);
@@ -200,8 +245,37 @@
         effect_list& effects);
     void route_by_tag(
         time_point now, packet_arrived const& packet, effect_list& effects);
-    [[nodiscard]] upstream_tag
-    effective_tag(packet_arrived const& packet) const;
+    [[nodiscard]] named_upstream upstream_of(packet_arrived const& packet);
+    /// Holds the packet and asks other VMs for the flow's upstream. False where
+    /// that is not possible.
+    [[nodiscard]] bool hold(
+        time_point now,
+        packet_arrived const& packet,
+        tagged_upstream const& named,
+        effect_list& effects);
+    /// `rule`: why the tag's upstream is believed if it is still provisional.
+    void release(
+        time_point now,
+        held_flow const& released,
+        flow_rule rule,
+        effect_list& effects);
+    void release_due(time_point now, effect_list& effects);
+    void send_held(
+        time_point now,
+        held_packet const& packet,
+        tagged_upstream& upstream,
+        flow_rule rule,
+        effect_list& effects);
+    [[nodiscard]] std::optional<upstream_tag>
+    find_binding(flow_lookup const& asked) const;
+    void give_up_opening(
+        time_point now,
+        vm_id sender,
+        flow_lookup const& asked,
+        effect_list& effects);
+    void tell_binding(
+        time_point now, packet_arrived const& packet, effect_list& effects);
+    void tell_peers(control_body const& message, effect_list& effects) const;
     void check_now(
         time_point now,
         packet_arrived const& packet,
@@ -210,6 +284,7 @@
         time_point now,
         packet_arrived const& packet,
         tagged_upstream& upstream,
+        flow_rule rule,
         effect_list& effects);
     void confirm_opening(
         time_point now,
@@ -221,6 +296,7 @@
         time_point now,
         packet_arrived const& packet,
         upstream_tag tag,
+        flow_rule rule,
         effect_list& effects);
     void record_progress(
         time_point now,
@@ -266,6 +342,10 @@
         packet_arrived const& packet,
         tagged_upstream const& upstream,
         effect_list& effects);
+    void send_opening(
+        packet_arrived const& packet,
+        tagged_upstream const& upstream,
+        effect_list& effects) const;
 
     tagging_settings const& settings;
     std::shared_ptr<route_listing const> routes;
@@ -279,6 +359,10 @@
     tagged_flows flows;
     pending_openings unconfirmed;
     confirmation_tracker confirmations;
+    flow_bindings bindings;
+    held_packets held;
+    message_budget budget;
+    std::vector<vm_id> peers;
     pause_detector pauses;
     /// By pool.
     std::map<std::string, queue_delay_control, std::less<>> delay_controls;
--- a/libraries/tagging/tag_router_openings.cpp
+++ b/libraries/tagging/tag_router_openings.cpp
@@ -25,6 +25,15 @@
 /// retransmission: the caller reuses the ports.
 constexpr duration retransmission_window = 3s;
 
+/// Whether another VM may have placed the original of a retransmitted opening,
+/// or the caller's retransmission of this one. Retransmissions are counted in
+/// the acknowledgement number.
+bool may_be_placed_elsewhere(packet_arrived const& packet)
+{
+    return packet.progress.acknowledged != 0 ||
+           packet.waited >= first_retransmission;
+}
+
 } // namespace
 
 void tag_router::route_opening(
@@ -41,6 +50,9 @@
     if (is_retransmission)
         return this->route_retransmission(now, packet, *flow, effects);
     this->remove_flow(packet.flow);
+    this->bindings.remove(packet.flow);
+    // Held packets are of an earlier flow between the same ports.
+    (void)this->held.take(packet.flow);
     this->place_opening(now, packet, upstream_tag(), effects);
 }
 
@@ -59,7 +71,7 @@
     // The first upstream may have processed the data already, so no other
     // upstream may get it.
     if (has_data && upstream != nullptr)
-        return send(packet, *upstream, effects);
+        return this->send_opening(packet, *upstream, effects);
     // The timeout runs from when this VM sent the opening, not from when the
     // caller did. After a pause this VM receives the opening and its
     // retransmission together, and would otherwise consider every upstream
@@ -68,7 +80,7 @@
         flow.state == tagged_flow_state::opening &&
         now >= flow.opened_at + this->settings.answer_timeout;
     if (may_stay && !is_unanswered)
-        return send(packet, *upstream, effects);
+        return this->send_opening(packet, *upstream, effects);
     if (upstream != nullptr && is_unanswered)
         this->record_unanswered(now, *upstream, effects);
     upstream_tag const excluded = flow.upstream;
@@ -115,20 +127,21 @@
     flow_ends const ends{packet.source, packet.destination};
     effects.emplace_back(
         this->make_decision(flow_step::placed, packet.flow, ends, choice));
-    this->add_opening(now, packet.flow, ends, *choice.chosen);
+    this->add_opening(
+        now, packet.flow, ends, *choice.chosen,
+        is_first_attempt && !may_be_placed_elsewhere(packet)
+            ? opening_history::first_offer
+            : opening_history::offered_before);
     this->schedule_retry(now, packet);
-    send(packet, *choice.chosen, effects);
+    this->send_opening(packet, *choice.chosen, effects);
 }
 
 bool tag_router::should_refuse_for_delay(
     time_point now, packet_arrived const& packet, published_route const& route)
 {
-    // Another VM may have placed the original of a retransmitted opening, and a
-    // reset would end a flow that is established by now.
-    bool const may_be_placed_elsewhere = packet.progress.acknowledged != 0 ||
-                                         packet.waited >= first_retransmission;
+    // A reset would end a flow that is established by now.
     bool const has_target = route.target_latency > duration::zero();
-    if (may_be_placed_elsewhere || !has_target)
+    if (may_be_placed_elsewhere(packet) || !has_target)
         return false;
     auto const control =
         this->delay_controls.find(this->pool_of(route, packet.flow));
@@ -178,7 +191,8 @@
     time_point now,
     flow_id flow,
     flow_ends const& ends,
-    tagged_upstream& chosen)
+    tagged_upstream& chosen,
+    opening_history history)
 {
     this->upstream_table.record_opening(now, chosen);
     this->add_flow(
@@ -189,19 +203,20 @@
                .opened_at = now,
                .expires_at = now + opening_lifetime,
                .progress = {},
-               .last_packet_at = now});
+               .last_packet_at = now,
+               .is_contested = history == opening_history::offered_before});
 }
 
 void tag_router::schedule_retry(time_point now, packet_arrived const& packet)
 {
     // An upstream may have processed the data of an opening, so only openings
     // without data are retried.
-    if (packet.phase != packet_phase::opening || packet.opening_bytes.empty())
+    if (packet.phase != packet_phase::opening || packet.bytes.empty())
         return;
     this->unconfirmed.add(
         {.flow = packet.flow,
          .destination = packet.destination,
-         .bytes = {packet.opening_bytes.begin(), packet.opening_bytes.end()},
+         .bytes = {packet.bytes.begin(), packet.bytes.end()},
          .retries = 0,
          .due_at = now + this->settings.retry_after});
 }
@@ -247,10 +262,14 @@
     retried.waited = waited;
     effects.emplace_back(retried);
     this->remove_flow(opening.flow);
-    this->add_opening(now, opening.flow, ends, *choice.chosen);
+    this->add_opening(
+        now, opening.flow, ends, *choice.chosen,
+        opening_history::offered_before);
     registered_upstream const& at = choice.chosen->registered;
-    effects.emplace_back(repeat_opening{
-        opening.bytes, {at.address, at.port, at.instance}, choice.chosen->tag});
+    effects.emplace_back(send_copy{
+        opening.bytes,
+        {at.address, at.port, at.instance},
+        this->upstream_table.opening_tag_of(*choice.chosen)});
     ++opening.retries;
     opening.due_at = now + this->settings.retry_after;
     this->unconfirmed.add(std::move(opening));
--- a/libraries/tagging/tag_router_reach.cpp
+++ b/libraries/tagging/tag_router_reach.cpp
@@ -141,8 +141,6 @@
     effect_list& effects)
 {
     this->remove_flow(packet.flow);
-    effects.emplace_back(
-        drop_packet{packet.token, drop_reason::upstream_unreachable});
     if (packet.phase == packet_phase::reset)
         return;
     effects.emplace_back(reset_known_flow{
--- a/libraries/tagging/tagged_flows.cpp
+++ b/libraries/tagging/tagged_flows.cpp
@@ -23,7 +23,7 @@
 
 tagged_flow* tagged_flows::insert(flow_id flow, tagged_flow const& added)
 {
-    if (this->flows.size() >= this->maximum)
+    if (!this->has_room())
         return nullptr;
     tagged_flow& entry =
         this->flows.insert_or_assign(flow, added).first->second;
@@ -56,6 +56,11 @@
     return taken;
 }
 
+bool tagged_flows::has_room() const
+{
+    return this->flows.size() < this->maximum;
+}
+
 std::size_t tagged_flows::size() const
 {
     return this->flows.size();
--- a/libraries/tagging/tagged_flows.hpp
+++ b/libraries/tagging/tagged_flows.hpp
@@ -41,6 +41,9 @@
     time_point last_new_data_at{};
     /// Whether the latest data has not been answered yet.
     bool awaits_answer = false;
+    /// Whether other upstreams may hold the flow's opening, too: their answers
+    /// change the tag of the caller's packets.
+    bool is_contested = false;
 };
 
 /// Table of the flows whose packets pass this VM.
@@ -87,6 +90,9 @@
 
     [[nodiscard]] std::size_t size() const;
 
+    /// Whether one more flow can be added.
+    [[nodiscard]] bool has_room() const;
+
 private:
     std::size_t maximum;
     absl::flat_hash_map<flow_id, tagged_flow> flows;
--- a/libraries/tagging/tagged_upstreams.cpp
+++ b/libraries/tagging/tagged_upstreams.cpp
@@ -246,6 +246,15 @@
                                        : &this->upstreams[found->second];
 }
 
+upstream_tag
+tagged_upstreams::opening_tag_of(tagged_upstream const& upstream) const
+{
+    upstream_tag const provisional = toggle_provisional(upstream.tag);
+    bool const is_taken =
+        provisional == upstream_tag() || this->find(provisional) != nullptr;
+    return is_taken ? upstream.tag : provisional;
+}
+
 upstream_view
 tagged_upstreams::view_of(time_point now, tagged_upstream const& upstream) const
 {
--- a/libraries/wire/control_codec.cpp
+++ b/libraries/wire/control_codec.cpp
@@ -157,6 +157,22 @@
         this->to.initReadingAttempt();
     }
 
+    void operator()(flow_lookup const& body)
+    {
+        auto part = this->to.initFlowLookup();
+        part.setFlow(body.flow.value());
+        part.setNamed(body.named.value());
+        part.setAcknowledged(body.acknowledged);
+    }
+
+    void operator()(flow_binding const& body)
+    {
+        auto part = this->to.initFlowBinding();
+        part.setFlow(body.flow.value());
+        part.setUpstream(body.upstream.value());
+        part.setAcknowledged(body.acknowledged);
+    }
+
     void operator()(join_request const& body)
     {
         auto part = this->to.initJoinRequest();
@@ -315,6 +331,22 @@
         .attempt = from.getAttempt()};
 }
 
+flow_lookup read(peer_schema::FlowLookup::Reader from)
+{
+    return {
+        .flow = flow_id(from.getFlow()),
+        .named = upstream_tag(from.getNamed()),
+        .acknowledged = from.getAcknowledged()};
+}
+
+flow_binding read(peer_schema::FlowBinding::Reader from)
+{
+    return {
+        .flow = flow_id(from.getFlow()),
+        .upstream = upstream_tag(from.getUpstream()),
+        .acknowledged = from.getAcknowledged()};
+}
+
 join_referral read(peer_schema::JoinReferral::Reader from)
 {
     if (from.getHolders().size() > maximum_entries)
@@ -366,6 +398,10 @@
         return read(from.getJoinRequest());
     case kind::JOIN_REFERRAL:
         return read(from.getJoinReferral());
+    case kind::FLOW_LOOKUP:
+        return read(from.getFlowLookup());
+    case kind::FLOW_BINDING:
+        return read(from.getFlowBinding());
     }
     throw malformed_datagram(malformed_reason::unknown_kind);
 }
--- a/libraries/wire/peer.capnp
+++ b/libraries/wire/peer.capnp
@@ -131,6 +131,18 @@
   isToRead @1 :Bool;
 }
 
+struct FlowLookup {
+  flow @0 :UInt64;
+  named @1 :UInt32;
+  acknowledged @2 :UInt32;
+}
+
+struct FlowBinding {
+  flow @0 :UInt64;
+  upstream @1 :UInt32;
+  acknowledged @2 :UInt32;
+}
+
 struct ControlMessage {
   sender @0 :UInt32;
   union {
@@ -148,6 +160,8 @@
     joinRequest @10 :JoinRequest;
     joinReferral @11 :JoinReferral;
     readingAttempt @12 :ReadingAttempt;
+    flowLookup @13 :FlowLookup;
+    flowBinding @14 :FlowBinding;
   }
 }
 
--- /dev/null
+++ b/tests/tagging/test_takeover.cpp
@@ -0,0 +1,330 @@
+#include "router_fixture.hpp"
+
+#include <tagging/flow_bindings.hpp>
+#include <tagging/held_packets.hpp>
+#include <tagging/message_budget.hpp>
+
+using namespace cairnhead;
+using namespace cairnhead::tagging_test;
+
+namespace
+{
+
+constexpr std::uint64_t flow = 7;
+/// The acknowledgement number of `router_fixture::request`.
+constexpr std::uint32_t acknowledged = 500;
+
+vm_id const first_peer(1);
+vm_id const second_peer(2);
+
+std::uint64_t provisional_tag_of(std::uint64_t instance)
+{
+    return toggle_provisional(tag_of(instance_number(instance))).value();
+}
+
+/// A VM with upstreams 1 to 3 and two peers, and what it sends to those.
+class takeover_vm : public router_fixture
+{
+public:
+    takeover_vm()
+        : router_fixture({make_upstream(1), make_upstream(2), make_upstream(3)})
+    {
+        vm_id const peers[] = {first_peer, second_peer};
+        this->router.set_peers(peers);
+    }
+
+    /// The messages of this kind that were sent, with their receivers.
+    template <typename Body>
+    std::vector<std::pair<vm_id, Body>> take_messages()
+    {
+        std::vector<std::pair<vm_id, Body>> found;
+        for (send_control const& sent : this->take<send_control>())
+        {
+            if (auto const* const body = std::get_if<Body>(&sent.body))
+                found.emplace_back(sent.target, *body);
+        }
+        return found;
+    }
+
+    void receive(flow_binding const& told)
+    {
+        this->router.receive(this->now, told, this->others());
+    }
+
+    void receive(vm_id sender, flow_lookup const& asked)
+    {
+        this->router.receive(this->now, sender, asked, this->others());
+    }
+
+    /// The instances to which copies of packets were sent.
+    std::vector<std::uint64_t> copies()
+    {
+        std::vector<std::uint64_t> instances;
+        for (send_copy const& sent : this->take<send_copy>())
+            instances.push_back(sent.target.instance.value());
+        return instances;
+    }
+};
+
+bool is_held(effect const& decided)
+{
+    return std::holds_alternative<keep_copy>(decided);
+}
+
+} // namespace
+
+// Guards against a flow that is reset by an upstream that also got its opening,
+// when the flow moves to a VM that does not know it.
+Test(takeover, an_unknown_flow_with_a_provisional_tag_is_looked_up)
+{
+    takeover_vm vm;
+    cr_expect(is_held(vm.request(flow, provisional_tag_of(2), 100)));
+    cr_expect(is_held(vm.request(flow, provisional_tag_of(2), 200)));
+    flow_lookup const asked{
+        flow_id(flow), tag_of(instance_number(2)), acknowledged};
+    auto const lookups = vm.take_messages<flow_lookup>();
+    cr_assert_eq(lookups.size(), 2, "one for each peer");
+    cr_expect(lookups[0].first == first_peer);
+    cr_expect(lookups[1].first == second_peer);
+    cr_expect(lookups[0].second == asked);
+    vm.receive(
+        flow_binding{asked.flow, tag_of(instance_number(1)), acknowledged});
+    std::vector<std::uint64_t> const expected{1, 1};
+    cr_expect(vm.copies() == expected);
+    cr_expect_eq(
+        vm.instance_of(vm.request(flow, provisional_tag_of(3), 300)), 1);
+    vm.advance(1s);
+    cr_expect(vm.copies().empty());
+}
+
+// Guards against a caller that waits in vain when the VM that knew its flow is
+// gone.
+Test(takeover, an_unanswered_lookup_believes_the_tag)
+{
+    takeover_vm vm;
+    cr_expect(is_held(vm.request(flow, provisional_tag_of(2))));
+    vm.advance(100ms);
+    std::vector<std::uint64_t> const expected{2};
+    cr_expect(vm.copies() == expected);
+    cr_expect_eq(
+        vm.instance_of(vm.request(flow, provisional_tag_of(3), 200)), 2);
+    auto const told = vm.take_messages<flow_binding>();
+    cr_assert_eq(told.size(), 2, "the next VM would have to guess as well");
+    cr_expect(told[0].second.upstream == tag_of(instance_number(2)));
+}
+
+// Guards against packets that are sent long after their caller has sent them
+// again.
+Test(takeover, packets_held_through_a_pause_are_dropped)
+{
+    takeover_vm vm;
+    cr_expect(is_held(vm.request(flow, provisional_tag_of(2))));
+    vm.wait(1s);
+    cr_expect(vm.copies().empty());
+}
+
+// Guards against messages and delays for flows whose upstream is certain.
+Test(takeover, a_confirmed_tag_needs_no_lookup)
+{
+    takeover_vm vm;
+    cr_expect_eq(vm.instance_of(vm.request(flow, 2)), 2);
+    cr_expect(vm.take_messages<flow_lookup>().empty());
+}
+
+Test(takeover, openings_carry_a_provisional_tag_and_other_packets_do_not)
+{
+    takeover_vm vm;
+    auto const tag_sent = [](effect const& decided)
+    {
+        auto const* const sent = std::get_if<send_tagged>(&decided);
+        cr_assert_not_null(sent);
+        return sent->tag.value();
+    };
+    effect const opened = vm.pass(flow, packet_phase::opening, 0);
+    auto const instance = vm.instance_of(opened);
+    cr_expect_eq(tag_sent(opened), provisional_tag_of(instance));
+    cr_expect_eq(
+        tag_sent(vm.request(flow, provisional_tag_of(instance))), instance);
+}
+
+// Guards against openings that carry another upstream's tag.
+Test(takeover, a_provisional_tag_that_is_taken_is_not_used)
+{
+    constexpr std::uint64_t first = 0x00000005;
+    constexpr std::uint64_t second = 0x80000005;
+    router_fixture vm({make_upstream(first), make_upstream(second)});
+    for (std::uint64_t number = 1; number <= 8; ++number)
+    {
+        effect const opened = vm.pass(number, packet_phase::opening, 0);
+        auto const* const sent = std::get_if<send_tagged>(&opened);
+        cr_assert_not_null(sent);
+        cr_expect(sent->tag == tag_of(sent->target.instance));
+    }
+}
+
+// Guards against retries by a VM that the fabric has taken out of use: the
+// caller's confirmation goes through another VM, and each retry makes one more
+// upstream hold the opening.
+Test(takeover, a_lookup_ends_the_retries_of_the_opening)
+{
+    takeover_vm vm;
+    vm.confirm_openings();
+    auto const instance = vm.open(flow);
+    vm.receive(
+        second_peer,
+        flow_lookup{
+            flow_id(flow), tag_of(instance_number(instance)), acknowledged});
+    auto const answers = vm.take_messages<flow_binding>();
+    cr_assert_eq(answers.size(), 1);
+    cr_expect(answers[0].first == second_peer);
+    cr_expect(answers[0].second.upstream == tag_of(instance_number(instance)));
+    vm.advance(1s);
+    cr_expect(vm.copies().empty());
+    // The flow comes back with the tag of another answer.
+    std::uint64_t const other = instance == 1 ? 2 : 1;
+    cr_expect_eq(
+        vm.instance_of(vm.request(flow, provisional_tag_of(other))), instance);
+}
+
+Test(takeover, a_lookup_of_a_confirmed_flow_is_answered)
+{
+    takeover_vm vm;
+    auto const instance = vm.open(flow);
+    vm.request(flow, provisional_tag_of(instance));
+    std::uint64_t const other = instance == 1 ? 2 : 1;
+    flow_lookup asked{
+        flow_id(flow), tag_of(instance_number(other)), acknowledged + 1000};
+    vm.receive(first_peer, asked);
+    auto const answers = vm.take_messages<flow_binding>();
+    cr_assert_eq(answers.size(), 1);
+    cr_expect(answers[0].second.upstream == tag_of(instance_number(instance)));
+    // An earlier or later flow between the same ports.
+    asked.acknowledged = acknowledged + 2 * maximum_number_distance;
+    vm.receive(first_peer, asked);
+    asked = {flow_id(flow + 1), asked.named, acknowledged};
+    vm.receive(first_peer, asked);
+    cr_expect(vm.take_messages<flow_binding>().empty());
+}
+
+// Guards against a flow that is reset after the only VM that knew its upstream
+// was killed.
+Test(takeover, peers_are_told_of_a_flow_whose_opening_was_retried)
+{
+    takeover_vm vm;
+    vm.confirm_openings();
+    auto const first = vm.open(flow);
+    vm.advance(60ms);
+    auto const copies = vm.copies();
+    cr_assert_eq(copies.size(), 1);
+    vm.take_messages<flow_binding>();
+    vm.request(flow, provisional_tag_of(first));
+    auto const told = vm.take_messages<flow_binding>();
+    cr_assert_eq(told.size(), 2);
+    cr_expect(told[0].second.upstream == tag_of(instance_number(first)));
+
+    takeover_vm other;
+    other.receive(told[0].second);
+    cr_expect_eq(
+        other.instance_of(other.request(flow, provisional_tag_of(copies[0]))),
+        first);
+    cr_expect(other.take_messages<flow_lookup>().empty());
+}
+
+// Guards against messages for each flow while nothing is wrong.
+Test(takeover, peers_are_not_told_of_other_flows)
+{
+    takeover_vm vm;
+    auto const instance = vm.open(flow);
+    vm.request(flow, provisional_tag_of(instance));
+    cr_expect(vm.take_messages<flow_binding>().empty());
+}
+
+// Guards against packets of an earlier flow that reach the upstream of the next
+// one between the same ports.
+Test(takeover, an_opening_drops_what_is_held_of_an_earlier_flow)
+{
+    takeover_vm vm;
+    cr_expect(is_held(vm.request(flow, provisional_tag_of(2))));
+    vm.open(flow);
+    vm.receive(
+        flow_binding{flow_id(flow), tag_of(instance_number(1)), acknowledged});
+    cr_expect(vm.copies().empty());
+}
+
+// Guards against VMs that send more than they may when many flows move.
+Test(takeover, lookups_beyond_the_budget_believe_the_tag)
+{
+    takeover_vm vm;
+    std::uint64_t held = 0;
+    for (std::uint64_t number = 1; number <= 1'200; ++number)
+    {
+        effect const decided = vm.request(number, provisional_tag_of(2));
+        held += is_held(decided) ? 1 : 0;
+        if (!is_held(decided))
+            cr_expect_eq(vm.instance_of(decided), 2);
+        vm.advance(1ms);
+    }
+    // Each takes two messages for the lookup and two to tell the result, of a
+    // burst of 2,000.
+    cr_expect_geq(held, 500);
+    cr_expect_lt(held, 1'000);
+}
+
+Test(takeover, without_peers_the_tag_is_believed)
+{
+    router_fixture vm({make_upstream(1), make_upstream(2)});
+    cr_expect_eq(vm.instance_of(vm.request(flow, provisional_tag_of(2))), 2);
+}
+
+Test(flow_bindings, expire_and_are_bounded)
+{
+    flow_bindings known;
+    time_point const start{1h};
+    upstream_tag const upstream(3);
+    known.record(start, flow_id(1), upstream, 100);
+    known.record(start + 20s, flow_id(1), upstream, 200);
+    cr_expect(known.find(flow_id(1), 300) == upstream);
+    known.expire(start + 31s);
+    cr_expect(known.find(flow_id(1), 300) == upstream, "recorded again");
+    known.expire(start + 51s);
+    cr_expect_not(known.find(flow_id(1), 300).has_value());
+    for (std::uint64_t number = 0; number < 20'000; ++number)
+        known.record(start + 1min, flow_id(number), upstream, 1);
+    cr_expect_leq(known.size(), 16'384);
+    cr_expect(known.find(flow_id(19'999), 1).has_value());
+}
+
+Test(held_packets, come_back_in_the_order_of_their_arrival)
+{
+    held_packets held;
+    time_point const start{1h};
+    std::uint8_t const bytes[] = {4, 5, 6};
+    packet_arrived packet;
+    packet.bytes = bytes;
+    packet.flow = flow_id(1);
+    packet.progress.sequence = 10;
+    held.add(packet, start + 30ms);
+    packet.flow = flow_id(2);
+    held.add(packet, start + 40ms);
+    packet.flow = flow_id(1);
+    packet.progress.sequence = 20;
+    held.add(packet, start + 50ms);
+    cr_expect(held.next_due() == start + 30ms);
+    cr_expect_not(held.take_due(start + 29ms).has_value());
+    auto const first = held.take_due(start + 30ms);
+    cr_assert(first.has_value());
+    cr_assert_eq(first->packets.size(), 2);
+    cr_expect_eq(first->packets[0].arrived.progress.sequence, 10);
+    cr_expect_eq(first->packets[1].arrived.progress.sequence, 20);
+    cr_expect(
+        first->packets[0].bytes ==
+        std::vector<std::uint8_t>(std::begin(bytes), std::end(bytes)));
+    cr_expect(held.next_due() == start + 40ms);
+    cr_expect(held.take(flow_id(2)).has_value());
+    cr_expect_not(held.next_due().has_value());
+    for (int number = 0; held.has_room(); ++number)
+    {
+        cr_assert_lt(number, 10'000);
+        held.add(packet, start + 60ms);
+    }
+}
--- a/tests/traffic/test_traffic.cpp
+++ b/tests/traffic/test_traffic.cpp
@@ -424,3 +424,35 @@
         cr_expect_eq(table.ended(request_end::reset), 0);
     }
 }
+
+// Guards against flows that are reset by an upstream that also got their
+// opening, when they move to a VM that does not know them.
+Test(traffic, flows_whose_openings_were_retried_survive_restarts)
+{
+    // Longer than VMs wait until they retry an opening.
+    constexpr duration late_answer = 70ms;
+    for (flow_spread const spread : {flow_spread::steady, flow_spread::modulo})
+    {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+        {
+            traffic_shape shape = with_spread(spread);
+            shape.pause = 1500ms;
+            shape.requests_per_flow = 4;
+            world table(seed, shape);
+            for (int round = 0; round < 24; ++round)
+            {
+                if (round % 8 == 3)
+                    table.fleet.leave_and_return(
+                        table.one_of_each_domain(round / 8), 700ms);
+                if (round % 8 == 7)
+                    table.fleet.restart(table.fleet.pick_running(2), 700ms);
+                for (int stall = 0; stall < 5; ++stall)
+                {
+                    table.traffic.upstreams().stall_all(late_answer);
+                    table.run_for(300ms);
+                }
+            }
+            table.expect_kept(seed);
+        }
+    }
+}
