Tagged upstreams: Let only a later start take an address over

Cause: a VM takes the later of two entries with one address for proof that the earlier upstream has ended. The later one was another program's: of a service that no configuration names, and in one case without the time of its start. The second kind still won if its service had a route, as an unknown start was taken for a later one. Ruled out: refusing entries without a start altogether, as some of the platforms' upstreams do not tell it; a check of the address before flows are reset, as both entries have it. Change: an entry takes over the address of an upstream whose start is known only with a later start.

--- a/libraries/tagging/tagged_upstreams.cpp
+++ b/libraries/tagging/tagged_upstreams.cpp
@@ -25,8 +25,9 @@
 
 /// Whether `later` took over the address that both upstreams have registered.
 /// False if `later` is missing from the registry, if one registry update listed
-/// both (their order is unknown then), or if their incarnations contradict the
-/// order of the updates.
+/// both (their order is unknown then), or if its incarnation does not show that
+/// it started later, while that of `earlier` is known: where upstreams register
+/// their incarnation, an entry without one may come from another program.
 bool takes_over(tagged_upstream const& later, tagged_upstream const& earlier)
 {
     bool const is_registered = !later.missing_since;
@@ -34,7 +35,6 @@
         later.learned_in_update > earlier.learned_in_update;
     incarnation const unknown{};
     bool const may_have_started_later =
-        later.registered.life == unknown ||
         earlier.registered.life == unknown ||
         later.registered.life > earlier.registered.life;
     return is_registered && was_learned_later && may_have_started_later;
--- a/tests/tagged_path/test_tagged_path.cpp
+++ b/tests/tagged_path/test_tagged_path.cpp
@@ -77,6 +77,32 @@
         this->platform.put(key.str(), samples::make_value(address, state));
     }
 
+    /// Another program writes an entry with the upstream's address, of a
+    /// service that no route names.
+    void register_foreign_entry(upstream_standin const& which)
+    {
+        std::string value = samples::make_value(
+            format_ipv4(which.address().address) + ":" +
+                std::to_string(upstream_port),
+            "ready");
+        std::string const sample = "listings";
+        value.replace(value.find(sample), sample.size(), "staging");
+        this->platform.put("servers/i-5c0ffee0", value);
+    }
+
+    /// Whether an upstream that drains is among those that the VM names for
+    /// the caller's flow.
+    bool knows_of_draining(int number, socket_address caller)
+    {
+        auto const told = this->ask(number, caller);
+        return std::ranges::any_of(
+            told["candidates"],
+            [](nlohmann::json const& candidate)
+            {
+                return candidate["belief"]["verdict"] == "draining";
+            });
+    }
+
     void start(int number)
     {
         this->write_settings(number);
@@ -302,6 +328,36 @@
     cr_expect(bench.are_opened_elsewhere(b, draining, 20));
 }
 
+// Guards against flows that are reset because another writer's entry has the
+// address of their upstream.
+Test(tagged_path, an_entry_of_an_unknown_service_ends_no_flow)
+{
+    fleet bench(110);
+    bench.start_both();
+    flow opened = bench.opener.open(bench.entrance(a));
+    bench.opener.send_data(bench.entrance(a), opened);
+    upstream_standin const& kept = bench.serving(opened);
+    bench.register_foreign_entry(kept);
+    for (upstream_standin const& each : bench.all_upstreams())
+    {
+        if (&each != &kept)
+            bench.register_upstream(each, "draining");
+    }
+    for (int const number : {a, b})
+    {
+        wait_until(
+            "the VM knows what was written after the entry",
+            [&]
+            {
+                return bench.knows_of_draining(number, opened.caller);
+            });
+        bench.opener.send_data(bench.entrance(number), opened);
+        cr_expect(
+            bench.opener.open(bench.entrance(number)).served_by ==
+            kept.address());
+    }
+}
+
 // Symptom: a VM gets packets before it can route them, or the packets that
 // still reach a VM which is about to stop are lost.
 // Sequence: VMs start while the store is down; it comes up; one VM is told to
--- a/tests/tagging/test_taken_over_address.cpp
+++ b/tests/tagging/test_taken_over_address.cpp
@@ -101,6 +101,22 @@
     cr_expect_eq(router_fixture::instance_of(back.request(7, 1)), 1);
 }
 
+// Guards against flows that are reset because an entry of another writer, which
+// lacks the time of a start, has the address of their upstream.
+Test(taken_over_address, an_entry_without_a_start_takes_no_address_over)
+{
+    auto first = make_upstream(1);
+    first.life = later_incarnation;
+    router_fixture vm({first});
+    vm.open(7);
+    vm.request(7, 1);
+    vm.list({first, at_first_address(2)});
+    vm.advance(1ms);
+    cr_expect(vm.take<reset_known_flow>().empty());
+    cr_expect_eq(router_fixture::instance_of(vm.request(7, 1)), 1);
+    cr_expect_eq(router_fixture::instance_of(vm.request(8, 1)), 1);
+}
+
 // Symptom: a flow of a live upstream is reset. Sequence: a wrong entry with the
 // upstream's address is listed and then removed. Cause: the removed entry still
 // counts as having taken over the address.
