--- a/tests/users_platform/test_store_mirror.cpp
+++ b/tests/users_platform/test_store_mirror.cpp
@@ -427,6 +427,31 @@
     cr_expect(rejected[0].fault == store_fault::instance_taken);
 }
 
+// Guards against an upstream that gets no flows any more because another
+// writer's key ends in the same digits.
+Test(store_mirror, a_key_with_the_digits_of_another_removes_nothing)
+{
+    std::string const key = "servers/agent-1";
+    store_item const items[] = {
+        make_item(key, 11, "garbage"),
+        make_item(key, 12, make_value("10.0.0.9:80", "ready")),
+        make_item(key, 13, std::nullopt)};
+    for (store_item const& item : items)
+    {
+        store_mirror mirror = make_mirror();
+        auto const before = content_of(mirror);
+        (void)apply_one(mirror, item);
+        cr_expect(content_of(mirror) == before);
+        cr_expect_eq(mirror.take_rejected().size(), item.value ? 1 : 0);
+        // Its own key is still heeded.
+        (void)apply_one(mirror, make_item("servers/i-1", 14, std::nullopt));
+        cr_expect_eq(content_of(mirror).size(), 1);
+        (void)apply_one(
+            mirror, make_item(key, 15, make_value("10.0.0.9:80", "ready")));
+        cr_expect_eq(content_of(mirror).size(), 2);
+    }
+}
+
 Test(store_mirror, a_configuration_that_cannot_be_read_leaves_the_old_one)
 {
     store_mirror mirror = make_mirror();
