Tagging: Keep what peers told of a flow when a copy of its opening comes

Cause: read in review of the lookups: any opening without an entry here made the VM forget the flow's binding, also a late copy of the opening of a flow that was confirmed through another VM. The next packet with a provisional tag was then looked up again, and believed if nobody answered. Ruled out: forgetting nothing, as a new flow may have the same ports. Change: only an opening that is no copy makes the VM forget an earlier flow. The new test was not run on the code before.

--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -178,6 +178,9 @@
 
     void route_opening(
         time_point now, packet_arrived const& packet, effect_list& effects);
+    /// Forgets what other VMs told, and the packets held, of an earlier flow
+    /// between the same ports.
+    void forget_earlier_flow(flow_id flow);
     void route_retransmission(
         time_point now,
         packet_arrived const& packet,
--- a/libraries/tagging/tag_router_openings.cpp
+++ b/libraries/tagging/tag_router_openings.cpp
@@ -50,12 +50,17 @@
     if (is_retransmission)
         return this->route_retransmission(now, packet, *flow, effects);
     this->remove_flow(packet.flow);
-    this->bindings.remove(packet.flow);
-    // Held packets are of an earlier flow between the same ports.
-    (void)this->held.take(packet.flow);
+    if (!may_be_placed_elsewhere(packet))
+        this->forget_earlier_flow(packet.flow);
     this->place_opening(now, packet, upstream_tag(), effects);
 }
 
+void tag_router::forget_earlier_flow(flow_id flow)
+{
+    this->bindings.remove(flow);
+    (void)this->held.take(flow);
+}
+
 void tag_router::route_retransmission(
     time_point now,
     packet_arrived const& packet,
--- a/tests/tagging/test_takeover.cpp
+++ b/tests/tagging/test_takeover.cpp
@@ -251,6 +251,19 @@
     cr_expect(vm.copies().empty());
 }
 
+// Guards against a late copy of an opening that makes the VM forget which
+// upstream the caller has confirmed since.
+Test(takeover, a_copy_of_an_opening_keeps_what_was_told)
+{
+    takeover_vm vm;
+    vm.receive(
+        flow_binding{flow_id(flow), tag_of(instance_number(1)), acknowledged});
+    vm.open_retransmission(flow, 1);
+    vm.advance(10s);
+    vm.wait(1s);
+    cr_expect_eq(vm.instance_of(vm.request(flow, provisional_tag_of(2))), 1);
+}
+
 // Guards against VMs that send more than they may when many flows move.
 Test(takeover, lookups_beyond_the_budget_believe_the_tag)
 {
