Tagging: Send openings and other packets by one function

Cause: two functions differed in the tag that they put into the packet. Ruled out: a choice of the tag by the packet's phase, as a copy of an opening is sent without its event. Change: send takes the tag.

--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -183,7 +183,7 @@
         return;
     this->update_flow(now, packet, upstream, named.rule, effects);
     this->check_now(now, packet, upstream);
-    send(packet, upstream, effects);
+    send(packet, upstream, upstream.tag, effects);
 }
 
 void tag_router::update_flow(
@@ -451,23 +451,12 @@
 void tag_router::send(
     packet_arrived const& packet,
     tagged_upstream const& upstream,
+    upstream_tag tag,
     effect_list& effects)
 {
     registered_upstream const& at = upstream.registered;
-    effects.emplace_back(send_tagged{
-        packet.token, {at.address, at.port, at.instance}, upstream.tag});
-}
-
-void tag_router::send_opening(
-    packet_arrived const& packet,
-    tagged_upstream const& upstream,
-    effect_list& effects) const
-{
-    registered_upstream const& at = upstream.registered;
-    effects.emplace_back(send_tagged{
-        packet.token,
-        {at.address, at.port, at.instance},
-        this->upstream_table.opening_tag_of(upstream)});
+    effects.emplace_back(
+        send_tagged{packet.token, {at.address, at.port, at.instance}, tag});
 }
 
 } // namespace cairnhead
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -344,11 +344,8 @@
     static void send(
         packet_arrived const& packet,
         tagged_upstream const& upstream,
+        upstream_tag tag,
         effect_list& effects);
-    void send_opening(
-        packet_arrived const& packet,
-        tagged_upstream const& upstream,
-        effect_list& effects) const;
 
     tagging_settings const& settings;
     std::shared_ptr<route_listing const> routes;
--- a/libraries/tagging/tag_router_openings.cpp
+++ b/libraries/tagging/tag_router_openings.cpp
@@ -76,7 +76,9 @@
     // The first upstream may have processed the data already, so no other
     // upstream may get it.
     if (has_data && upstream != nullptr)
-        return this->send_opening(packet, *upstream, effects);
+        return send(
+            packet, *upstream, this->upstream_table.opening_tag_of(*upstream),
+            effects);
     // The timeout runs from when this VM sent the opening, not from when the
     // caller did. After a pause this VM receives the opening and its
     // retransmission together, and would otherwise consider every upstream
@@ -85,7 +87,9 @@
         flow.state == tagged_flow_state::opening &&
         now >= flow.opened_at + this->settings.answer_timeout;
     if (may_stay && !is_unanswered)
-        return this->send_opening(packet, *upstream, effects);
+        return send(
+            packet, *upstream, this->upstream_table.opening_tag_of(*upstream),
+            effects);
     if (upstream != nullptr && is_unanswered)
         this->record_unanswered(now, *upstream, effects);
     upstream_tag const excluded = flow.upstream;
@@ -138,7 +142,9 @@
             ? opening_history::first_offer
             : opening_history::offered_before);
     this->schedule_retry(now, packet);
-    this->send_opening(packet, *choice.chosen, effects);
+    send(
+        packet, *choice.chosen,
+        this->upstream_table.opening_tag_of(*choice.chosen), effects);
 }
 
 bool tag_router::should_refuse_for_delay(
