Flow log: Log each takeover whose upstream was looked up

Cause: takeovers are logged as a share, as most flows that move need no attention. Those by a lookup, or by a tag that nobody confirmed, were left out as well, and they are what a flow that went astray is explained by. Ruled out: a counter, as the lines can be counted and tell the flow. Change: only takeovers by a certain tag are sampled.

--- a/libraries/observability/flow_log.cpp
+++ b/libraries/observability/flow_log.cpp
@@ -17,11 +17,13 @@
 /// of the flow's opening says all. Openings are offered again after this.
 constexpr duration slow_answer = std::chrono::milliseconds(50);
 
-/// Steps that each flow takes when all is well.
-bool is_ordinary(flow_step step)
+/// Whether flows take this step when all is well.
+bool is_ordinary(flow_decision const& decided)
 {
-    return step == flow_step::placed || step == flow_step::confirmed ||
-           step == flow_step::taken_over;
+    bool const is_taken_over_by_tag = decided.step == flow_step::taken_over &&
+                                      decided.rule == flow_rule::named_by_tag;
+    return decided.step == flow_step::placed ||
+           decided.step == flow_step::confirmed || is_taken_over_by_tag;
 }
 
 log_level level_of(flow_step step)
@@ -88,7 +90,7 @@
         return this->sampler.note_opened(now, decided.flow);
     if (decided.step == flow_step::confirmed && decided.waited < slow_answer)
         return false;
-    return !is_ordinary(decided.step) || this->sampler.keeps(decided.flow);
+    return !is_ordinary(decided) || this->sampler.keeps(decided.flow);
 }
 
 void flow_log::write(time_point now, flow_decision const& decided)
--- a/tests/observability/test_flow_log.cpp
+++ b/tests/observability/test_flow_log.cpp
@@ -172,3 +172,18 @@
     flow_sampler none(0);
     cr_expect_not(none.note_opened(start, flow_id(0)));
 }
+
+// Guards against flows that were led astray without a line that tells by what.
+Test(flow_log, takeovers_by_a_lookup_are_all_logged)
+{
+    constexpr std::size_t flows = 1'000;
+    vm_log vm(1);
+    for (std::uint64_t number = 0; number < flows; ++number)
+    {
+        auto decided = make_decision(number, flow_step::taken_over);
+        decided.rule = number % 2 == 0 ? flow_rule::named_by_peer
+                                       : flow_rule::named_by_provisional_tag;
+        vm.flows.write(start, decided);
+    }
+    cr_expect_eq(vm.count_lines(), flows);
+}
