Tagging, Reducer: Simplify after reading the change as a whole

Cause: release took a rule that was the same at both calls; VMs heard of before the join stayed among those asked about flows for good; some comments told how a value was chosen. Ruled out: removing early peers when the VM joins, as its list of members is empty until a peer has answered. Change: early peers are asked only while no other VM is known; the parameter and the comments are gone. A test shows that 12,000 upstreams fit a document.

--- a/libraries/reducer/reducer_refresh.cpp
+++ b/libraries/reducer/reducer_refresh.cpp
@@ -142,23 +142,17 @@
     // The fabric moves flows within the failure domain, and to others only
     // while none of its VMs is in use.
     std::vector<vm_id> chosen = this->peer_vms;
-    auto const add = [&chosen](vm_id vm)
-    {
-        bool const is_wanted = chosen.size() < enough_flow_peers &&
-                               std::ranges::find(chosen, vm) == chosen.end();
-        if (is_wanted)
-            chosen.push_back(vm);
-    };
     for (failure_domain_id const domain :
          this->members.contacts_abroad().domains())
     {
         for (domain_contact const& known :
              this->members.contacts_abroad().of(domain))
-            add(known.id);
+        {
+            if (chosen.size() < enough_flow_peers)
+                chosen.push_back(known.id);
+        }
     }
-    for (vm_id const vm : this->early_peers)
-        add(vm);
-    return chosen;
+    return chosen.empty() ? this->early_peers : chosen;
 }
 
 void reducer::note_early_peer(vm_id vm)
--- a/libraries/tagging/held_packets.cpp
+++ b/libraries/tagging/held_packets.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-/// With packets of 1,231 bytes, 1.2 MiB.
+/// 1.2 MiB with the longest packets.
 constexpr std::size_t maximum_held_packets = 1024;
 
 } // namespace
--- a/libraries/tagging/message_budget.hpp
+++ b/libraries/tagging/message_budget.hpp
@@ -29,11 +29,9 @@
     }
 
 private:
-    /// In the long run; with some 100 bytes each, most of what a VM may send
-    /// for control.
+    /// In the long run.
     static constexpr duration message_interval = std::chrono::milliseconds(10);
-    /// A burst of 2,000 messages: a few flows with 300 VMs in the failure
-    /// domain.
+    /// How far ahead of that messages may be sent: 2,000 at once.
     static constexpr duration burst = std::chrono::seconds(20);
 
     time_point empty_at;
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -256,12 +256,10 @@
         packet_arrived const& packet,
         tagged_upstream const& named,
         effect_list& effects);
-    /// `rule`: why the tag's upstream is believed if it is still provisional.
-    void release(
-        time_point now,
-        held_flow const& released,
-        flow_rule rule,
-        effect_list& effects);
+    /// Sends the flow's packets. Where the upstream is still not known, the tag
+    /// is believed.
+    void
+    release(time_point now, held_flow const& released, effect_list& effects);
     void release_due(time_point now, effect_list& effects);
     void send_held(
         time_point now,
--- a/libraries/tagging/tag_router_takeover.cpp
+++ b/libraries/tagging/tag_router_takeover.cpp
@@ -14,8 +14,8 @@
 
 using std::chrono_literals::operator""ms;
 
-/// How long packets wait for another VM's answer. Several round trips to a VM
-/// of another failure domain; a caller retransmits after 200 ms.
+/// How long packets wait for another VM's answer. Callers retransmit after
+/// 200 ms.
 constexpr duration lookup_timeout = 30ms;
 
 /// Packets that were held for longer have been retransmitted, perhaps through
@@ -60,8 +60,8 @@
         return {};
     auto* const offered =
         this->upstream_table.find(toggle_provisional(*packet.tag));
-    // The caller's first packet after an opening from here follows the answer
-    // that it confirms.
+    // The first packet that follows an opening from here carries the tag of the
+    // answer that the caller confirms.
     bool const is_placed_here = flow != nullptr && !is_settled;
     return {
         offered, flow_rule::named_by_tag,
@@ -93,10 +93,7 @@
 }
 
 void tag_router::release(
-    time_point now,
-    held_flow const& released,
-    flow_rule rule,
-    effect_list& effects)
+    time_point now, held_flow const& released, effect_list& effects)
 {
     if (now > released.due_at + maximum_hold)
         return;
@@ -110,7 +107,8 @@
             target.certainty == tag_certainty::provisional;
         is_guessed |= is_provisional;
         this->send_held(
-            now, packet, *target.upstream, is_provisional ? rule : target.rule,
+            now, packet, *target.upstream,
+            is_provisional ? flow_rule::named_by_provisional_tag : target.rule,
             effects);
     }
     // The next VM to which the flow moves would guess, too.
@@ -136,7 +134,7 @@
 void tag_router::release_due(time_point now, effect_list& effects)
 {
     while (auto const due = this->held.take_due(now))
-        this->release(now, *due, flow_rule::named_by_provisional_tag, effects);
+        this->release(now, *due, effects);
 }
 
 void tag_router::receive(
@@ -197,8 +195,7 @@
         this->remove_flow(told.flow);
     this->bindings.record(now, told.flow, told.upstream, told.acknowledged);
     if (auto const released = this->held.take(told.flow))
-        this->release(
-            now, *released, flow_rule::named_by_provisional_tag, effects);
+        this->release(now, *released, effects);
 }
 
 void tag_router::tell_binding(
--- a/tests/versions/test_registry_documents.cpp
+++ b/tests/versions/test_registry_documents.cpp
@@ -386,3 +386,27 @@
     store_fetched(store, evacuations, 7, encode_listing(evacuation_listing{}));
     cr_expect(store.registered().evacuations->domains.empty());
 }
+
+// Guards against a registry of the planned size that VMs refuse as too long.
+Test(registry_documents, twelve_thousand_upstreams_fit_a_document)
+{
+    constexpr std::uint64_t count = 12'000;
+    std::mt19937_64 random(seed);
+    upstream_listing listing;
+    for (std::uint64_t number = 0; number < count; ++number)
+        listing.upstreams.push_back(
+            {.instance =
+                 instance_number(number << 28U | random() % (1U << 28U)),
+             .address = ipv4_address(static_cast<std::uint32_t>(random())),
+             .port = static_cast<std::uint16_t>(random()),
+             .is_draining = number % 2 == 0,
+             .slots = 1 + static_cast<std::uint32_t>(random() % 16),
+             .cold_milliseconds = static_cast<std::uint32_t>(random() % 60'000),
+             .pool = "pool-" + std::to_string(number % 50),
+             .failure_domain = "domain-" + std::to_string(number % 7),
+             .life = incarnation(1'772'409'600'000 + random() % (1ULL << 36U)),
+             .changed_at = document_version(random() % (1ULL << 32U))});
+    cr_expect_leq(
+        encode_listing(listing).size(), maximum_text_bytes, "%zu",
+        encode_listing(listing).size());
+}
