--- a/libraries/event/settings.hpp
+++ b/libraries/event/settings.hpp
@@ -142,8 +142,18 @@
     std::uint32_t maximum_organisation_percent = 60;
 };
 
+/// What decides which upstream a new flow is sent to.
+enum class placement_rule : std::uint8_t
+{
+    /// The number of flows that pass this VM.
+    flows,
+    /// The ratings of upstreams as well; see libraries/rating.
+    answer_times,
+};
+
 struct tagging_settings
 {
+    placement_rule placement = placement_rule::flows;
     /// An upstream that left the registry is known by its tag for this long:
     /// its flows may live on.
     duration upstream_retention = 90s;
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -330,6 +330,7 @@
             this->decrement_flow_count(expired);
         });
     this->upstream_table.forget_old(now);
+    this->ratings.expire(now);
     this->bindings.expire(now);
     std::erase_if(
         this->delay_controls,
@@ -342,6 +343,16 @@
     this->domains.probe_again(now);
 }
 
+std::vector<request_observation> tag_router::take_observations()
+{
+    return std::exchange(this->observations, {});
+}
+
+void tag_router::apply_rating(time_point now, upstream_rating const& rating)
+{
+    this->ratings.apply(now, rating);
+}
+
 bool tag_router::is_informed() const
 {
     return this->routes != nullptr && this->listed_upstreams != nullptr &&
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -3,6 +3,8 @@
 #include <event/effect.hpp>
 #include <event/event.hpp>
 #include <event/settings.hpp>
+#include <rating/rating_table.hpp>
+#include <rating/request_observation.hpp>
 #include <registry/registry_snapshot.hpp>
 #include <tagging/confirmation_tracker.hpp>
 #include <tagging/domain_reachability.hpp>
@@ -115,6 +117,13 @@
     /// last call, and whose VMs therefore have to be probed.
     [[nodiscard]] std::vector<failure_domain_id> take_domains_to_probe();
 
+    /// The requests that ended since the last call, for the ratings of their
+    /// upstreams. Empty unless the settings call for ratings.
+    [[nodiscard]] std::vector<request_observation> take_observations();
+
+    /// Puts a rating in force.
+    void apply_rating(time_point now, upstream_rating const& rating);
+
     /// Removes expired flows and upstreams, and has unreachable upstreams and
     /// failure domains checked again.
     void tick(time_point now, effect_list& effects);
@@ -354,6 +363,8 @@
     absl::flat_hash_map<endpoint, published_route const*> route_by_address;
     domain_reachability domains;
     tagged_upstreams upstream_table;
+    rating_table ratings;
+    std::vector<request_observation> observations;
     tagged_flows flows;
     pending_openings unconfirmed;
     confirmation_tracker confirmations;
