Rating: Find requests in the packets of flows

Cause: ratings need the times and lengths of answers, and a VM sees only the callers' packets (docs/design/hard-load.md, part 1). Ruled out: a scan of all flows for requests without an answer, which costs as much as there are flows.

--- a/libraries/rating/route_baseline.cpp
+++ b/libraries/rating/route_baseline.cpp
@@ -22,9 +22,10 @@
 constexpr double short_share = .6;
 constexpr double length_quantile = .2;
 
-/// Of the short answers, one in so many is a sample: a pool that refuses most
-/// requests must not make refusals usual, but a route whose answers have become
-/// shorter for good must not be rated by the old ones forever.
+/// Where a sample is due and the answer is short, one in so many is taken: a
+/// pool that refuses most requests must not make refusals usual, but a route
+/// whose answers have become shorter for good must not be rated by the old ones
+/// forever.
 constexpr std::uint32_t short_answers_per_sample = 16;
 
 /// So many samples are taken at once.
@@ -146,16 +147,12 @@
 
 bool route_baseline::should_sample(time_point now, bool is_short)
 {
-    if (is_short)
-    {
-        ++this->short_answers;
-        return this->short_answers % short_answers_per_sample == 0;
-    }
     bool const is_due =
         now >= this->next_sample_at || this->lengths.size() < initial_samples;
-    if (is_due)
-        this->next_sample_at = now + sample_gap;
-    return is_due;
+    if (!is_due)
+        return false;
+    this->next_sample_at = now + sample_gap;
+    return !is_short || ++this->short_answers % short_answers_per_sample == 0;
 }
 
 void route_baseline::update_usual()
--- a/libraries/rating/route_baseline.hpp
+++ b/libraries/rating/route_baseline.hpp
@@ -77,6 +77,7 @@
     decayed_sum answers;
     decayed_sum timed_answers;
     time_point next_sample_at;
+    /// Short answers that came when a sample was due.
     std::uint32_t short_answers = 0;
     /// As of the latest sample; zero while unknown.
     duration usual{};
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -78,6 +78,12 @@
     this->route_by_address.clear();
     for (published_route const& route : this->routes->routes)
         this->route_by_address[address_of(route)] = &route;
+    std::erase_if(
+        this->baselines,
+        [this](auto const& entry)
+        {
+            return !this->route_by_address.contains(entry.first);
+        });
     this->upstream_table.set_warmups(this->routes->warmups);
 }
 
@@ -91,7 +97,10 @@
         now, previous == nullptr ? upstream_listing() : *previous,
         *this->listed_upstreams);
     for (upstream_tag const tag : outcome.restarted)
+    {
         this->remove_flows_of(tag);
+        this->forget_performance(tag);
+    }
     this->replaced_upstreams.insert(
         this->replaced_upstreams.end(), outcome.taken_over.begin(),
         outcome.taken_over.end());
@@ -138,6 +147,7 @@
     this->reset_flows_of_replaced(now, effects);
     while (auto due = this->unconfirmed.take_due(now))
         this->retry_opening(now, std::move(*due), effects);
+    this->observe_overdue_requests(now);
     this->domains.advance(now);
     this->report_reachability_changes(effects);
     this->start_due_checks(now, effects);
@@ -206,6 +216,7 @@
             this->tell_binding(now, packet, effects);
     }
     this->record_progress(now, packet, *flow, upstream, effects);
+    this->time_request(now, packet, *flow, upstream);
     flow->last_packet_at = now;
     if (packet.phase == packet_phase::closing)
         flow->state = tagged_flow_state::closing;
@@ -272,7 +283,10 @@
                       .expires_at = now + this->idle_timeout(),
                       .progress = {},
                       .last_packet_at = now,
-                      .is_contested = was_opening});
+                      .is_contested = was_opening,
+                      .requests = request_timer(
+                          was_opening ? flow_origin::opened_here
+                                      : flow_origin::opened_elsewhere)});
     return this->flows.find(packet.flow);
 }
 
@@ -320,6 +334,7 @@
 void tag_router::tick(time_point now, effect_list& effects)
 {
     this->pauses.record_event(now);
+    this->observe_overdue_requests(now);
     if (now < this->next_cleaning_at)
         return;
     this->next_cleaning_at = now + cleaning_period;
@@ -331,6 +346,7 @@
         });
     this->upstream_table.forget_old(now);
     this->ratings.expire(now);
+    this->answer_times.expire(now);
     this->bindings.expire(now);
     std::erase_if(
         this->delay_controls,
@@ -343,16 +359,6 @@
     this->domains.probe_again(now);
 }
 
-std::vector<request_observation> tag_router::take_observations()
-{
-    return std::exchange(this->observations, {});
-}
-
-void tag_router::apply_rating(time_point now, upstream_rating const& rating)
-{
-    this->ratings.apply(now, rating);
-}
-
 bool tag_router::is_informed() const
 {
     return this->routes != nullptr && this->listed_upstreams != nullptr &&
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -3,8 +3,11 @@
 #include <event/effect.hpp>
 #include <event/event.hpp>
 #include <event/settings.hpp>
+#include <rating/domain_answer_times.hpp>
 #include <rating/rating_table.hpp>
+#include <rating/request_deadlines.hpp>
 #include <rating/request_observation.hpp>
+#include <rating/route_baseline.hpp>
 #include <registry/registry_snapshot.hpp>
 #include <tagging/confirmation_tracker.hpp>
 #include <tagging/domain_reachability.hpp>
@@ -22,6 +25,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 namespace cairnhead
 {
@@ -117,13 +121,18 @@
     /// last call, and whose VMs therefore have to be probed.
     [[nodiscard]] std::vector<failure_domain_id> take_domains_to_probe();
 
-    /// The requests that ended since the last call, for the ratings of their
-    /// upstreams. Empty unless the settings call for ratings.
+    /// The requests that ended since the last call, or that were found
+    /// unanswered, for the ratings of their upstreams. Only the first thousand.
+    /// Empty unless the settings call for ratings.
     [[nodiscard]] std::vector<request_observation> take_observations();
 
     /// Puts a rating in force.
     void apply_rating(time_point now, upstream_rating const& rating);
 
+    /// The upstream's rating in force, if any.
+    [[nodiscard]] std::optional<upstream_rating>
+    rating_of(time_point now, upstream_tag upstream) const;
+
     /// Removes expired flows and upstreams, and has unreachable upstreams and
     /// failure domains checked again.
     void tick(time_point now, effect_list& effects);
@@ -327,6 +336,27 @@
         tagged_flow const& flow,
         tagged_upstream const& upstream);
     void record_answer(time_point at, tagged_upstream& upstream);
+    /// Finds out whether the packet begins or ends a request.
+    void time_request(
+        time_point now,
+        packet_arrived const& packet,
+        tagged_flow& flow,
+        tagged_upstream const& upstream);
+    void observe_answer(
+        time_point now,
+        tagged_flow& flow,
+        tagged_upstream const& upstream,
+        route_baseline& baseline,
+        request_timer::packet_findings const& found);
+    void observe_unanswered(
+        time_point now,
+        tagged_flow& flow,
+        tagged_upstream const& upstream,
+        route_baseline const& baseline);
+    void observe_overdue_requests(time_point now);
+    void add_observation(request_observation const& seen);
+    /// Forgets how an upstream performed before it restarted.
+    void forget_performance(upstream_tag restarted);
     [[nodiscard]] bool should_refuse_for_delay(
         time_point now,
         packet_arrived const& packet,
@@ -365,6 +395,12 @@
     tagged_upstreams upstream_table;
     rating_table ratings;
     std::vector<request_observation> observations;
+    /// By the address of the route; references stay valid when others are
+    /// added.
+    std::unordered_map<endpoint, route_baseline, absl::Hash<endpoint>>
+        baselines;
+    domain_answer_times answer_times;
+    request_deadlines waiting_requests;
     tagged_flows flows;
     pending_openings unconfirmed;
     confirmation_tracker confirmations;
--- a/libraries/tagging/tag_router_openings.cpp
+++ b/libraries/tagging/tag_router_openings.cpp
@@ -215,7 +215,8 @@
                .expires_at = now + opening_lifetime,
                .progress = {},
                .last_packet_at = now,
-               .is_contested = history == opening_history::offered_before});
+               .is_contested = history == opening_history::offered_before,
+               .requests = request_timer(flow_origin::opened_here)});
 }
 
 void tag_router::schedule_retry(time_point now, packet_arrived const& packet)
--- a/libraries/tagging/tagged_flows.hpp
+++ b/libraries/tagging/tagged_flows.hpp
@@ -3,6 +3,7 @@
 #include <base/identifiers.hpp>
 #include <base/time.hpp>
 #include <event/event.hpp>
+#include <rating/request_timer.hpp>
 #include <registry/tag.hpp>
 
 #include <absl/container/flat_hash_map.h>
@@ -44,6 +45,8 @@
     /// Whether other upstreams may hold the flow's opening, too: their answers
     /// change the tag of the caller's packets.
     bool is_contested = false;
+    /// Used only where upstreams are rated.
+    request_timer requests;
 };
 
 /// Table of the flows whose packets pass this VM.
