Rating: Compare an upstream's errors with those of others now

Cause: when an overload began, a simulated domain of 38 VMs and 40 upstreams ejected up to 11 healthy upstreams: the pool's share of short answers, over a longer window, lagged behind that of each upstream. Change: the share is the higher one of two windows, half a standard deviation above the mean, without the answers of the judged upstream; a refused trial tells nothing while the others refuse requests.

--- a/libraries/rating/outlier_detector.cpp
+++ b/libraries/rating/outlier_detector.cpp
@@ -1,6 +1,7 @@
 #include <rating/outlier_detector.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -18,8 +19,18 @@
 /// sum then stays below `minimum_answers`.
 constexpr duration evidence_window = 2s;
 
-/// What is usual in the pool changes slowly, and one VM sees few requests.
-constexpr duration pool_window = 5s;
+/// A VM may see one request of a small pool in a second.
+constexpr duration pool_window = 8s;
+
+/// Answers added to those of the pool, half of them short: where own flows saw
+/// few answers the pool counts as failing, and only a share that is larger in
+/// proportion ejects an upstream.
+constexpr double prior_answers = 1;
+constexpr double prior_short_answers = .5;
+
+/// One VM's answers are a sample, so the pool's share is taken this many
+/// standard deviations higher. Twice as many delay ejections by half a second.
+constexpr double deviations = .5;
 
 /// Five, less the weight that five observations lose within half a second.
 constexpr double minimum_answers = 4.5;
@@ -61,12 +72,19 @@
         this->short_answers.add(now, 1);
 }
 
-outlier_detector::collected_upstream::collected_upstream()
-    : count(evidence_window), next_length(first_ejection)
+outlier_detector::own_answers::own_answers()
+    : recent(evidence_window), long_term(pool_window)
 {
 }
 
-outlier_detector::outlier_detector() : own_total(pool_window)
+void outlier_detector::own_answers::add(time_point now, bool is_short)
+{
+    this->recent.add(now, is_short);
+    this->long_term.add(now, is_short);
+}
+
+outlier_detector::collected_upstream::collected_upstream()
+    : count(evidence_window), next_length(first_ejection)
 {
 }
 
@@ -85,21 +103,71 @@
 {
     bool const is_short = seen.outcome == request_outcome::short_answer;
     this->own_total.add(now, is_short);
-    this->own.try_emplace(seen.upstream, pool_window)
-        .first->second.add(now, is_short);
+    this->own[seen.upstream].add(now, is_short);
     auto const found = this->collected.find(seen.upstream);
     if (found == this->collected.end())
         return;
     collected_upstream& state = found->second;
     if (!state.is_ejected || now < state.trial_from)
         return;
-    if (seen.outcome != request_outcome::answered)
+    // While the other upstreams refuse requests, too, a refused trial tells
+    // nothing.
+    bool const is_refusal =
+        is_short && this->are_others_failing(now, seen.upstream);
+    if (seen.outcome != request_outcome::answered && !is_refusal)
         return this->eject(now, seen.upstream, state);
     state.next_trial_at = now;
-    if (++state.good_trials >= trials_needed)
+    if (!is_refusal && ++state.good_trials >= trials_needed)
         this->restore(now, seen.upstream, state);
 }
 
+outlier_detector::pool_answers
+outlier_detector::answers_of_others(time_point now, upstream_tag upstream) const
+{
+    auto const found = this->own.find(upstream);
+    own_answers const judged =
+        found == this->own.end() ? own_answers() : found->second;
+    auto const rest = [now](answer_count const& all, answer_count const& part)
+    {
+        return answer_sums{
+            std::max(all.answers.at(now) - part.answers.at(now), 0.0),
+            std::max(
+                all.short_answers.at(now) - part.short_answers.at(now), 0.0)};
+    };
+    return {
+        rest(this->own_total.recent, judged.recent),
+        rest(this->own_total.long_term, judged.long_term)};
+}
+
+bool outlier_detector::are_others_failing(
+    time_point now, upstream_tag upstream) const
+{
+    auto const [recent, long_term] = this->answers_of_others(now, upstream);
+    answer_sums const& seen =
+        recent.answers < minimum_answers ? long_term : recent;
+    return seen.short_answers > 0 && seen.short_answers * least_ratio >=
+                                         seen.answers * minimum_short_share;
+}
+
+double outlier_detector::highest_share_of_others(
+    time_point now, upstream_tag upstream) const
+{
+    auto const highest = [](answer_sums const& seen)
+    {
+        double const answers = seen.answers + prior_answers;
+        double const mean =
+            (seen.short_answers + prior_short_answers) / answers;
+        return mean + deviations * std::sqrt(mean * (1 - mean) / answers);
+    };
+    auto const [recent, long_term] = this->answers_of_others(now, upstream);
+    if (recent.answers < minimum_answers)
+        return highest(long_term);
+    // When an overload begins, upstreams refuse requests that they answered
+    // until now. The long window alone shows that so late that a quarter of
+    // healthy upstreams was ejected.
+    return std::max(highest(long_term), highest(recent));
+}
+
 bool outlier_detector::is_outlier(
     time_point now,
     upstream_tag upstream,
@@ -109,16 +177,7 @@
     double const share = state.count.short_answers.at(now) / answers;
     if (answers < minimum_answers || share < minimum_short_share)
         return false;
-    double others = this->own_total.answers.at(now);
-    double short_others = this->own_total.short_answers.at(now);
-    // In a pool of few upstreams the outlier's own answers would hide it.
-    if (auto const found = this->own.find(upstream); found != this->own.end())
-    {
-        others -= found->second.answers.at(now);
-        short_others -= found->second.short_answers.at(now);
-    }
-    return others >= minimum_answers &&
-           short_others / others * least_ratio < share;
+    return this->highest_share_of_others(now, upstream) * least_ratio < share;
 }
 
 void outlier_detector::eject(
@@ -168,7 +227,7 @@
         this->own,
         [now](auto const& entry)
         {
-            return entry.second.answers.at(now) < idle_weight;
+            return entry.second.long_term.answers.at(now) < idle_weight;
         });
 }
 
--- a/libraries/rating/outlier_detector.hpp
+++ b/libraries/rating/outlier_detector.hpp
@@ -40,8 +40,6 @@
 class outlier_detector
 {
 public:
-    outlier_detector();
-
     /// Adds what a VM, this one included, saw of an upstream that this VM
     /// collects for. May eject the upstream.
     void add_collected(time_point now, request_observation const& seen);
@@ -88,6 +86,17 @@
         decayed_sum short_answers;
     };
 
+    /// Answers of own flows. The recent ones show that an overload begins; the
+    /// others steady the share.
+    struct own_answers
+    {
+        own_answers();
+        void add(time_point now, bool is_short);
+
+        answer_count recent;
+        answer_count long_term;
+    };
+
     struct collected_upstream
     {
         collected_upstream();
@@ -105,6 +114,30 @@
         time_point forgiven_at;
     };
 
+    struct answer_sums
+    {
+        double answers = 0;
+        double short_answers = 0;
+    };
+
+    struct pool_answers
+    {
+        answer_sums recent;
+        answer_sums long_term;
+    };
+
+    /// What own flows saw of the pool's other upstreams: in a pool of few
+    /// upstreams the outlier's own answers would hide it.
+    [[nodiscard]] pool_answers
+    answers_of_others(time_point now, upstream_tag upstream) const;
+    /// The share of short answers of the pool's other upstreams, as high as it
+    /// may well be.
+    [[nodiscard]] double
+    highest_share_of_others(time_point now, upstream_tag upstream) const;
+    /// Whether so many of their answers were seen to be short that an upstream
+    /// with the minimum share is no outlier.
+    [[nodiscard]] bool
+    are_others_failing(time_point now, upstream_tag upstream) const;
     [[nodiscard]] bool is_outlier(
         time_point now,
         upstream_tag upstream,
@@ -116,8 +149,8 @@
 
     absl::flat_hash_map<upstream_tag, collected_upstream> collected;
     /// By upstream, from own flows.
-    absl::flat_hash_map<upstream_tag, answer_count> own;
-    answer_count own_total;
+    absl::flat_hash_map<upstream_tag, own_answers> own;
+    own_answers own_total;
     std::vector<ejection_change> changes;
 };
 
