Runtime: Forward packets of open flows once the upstreams are known

Cause: A VM that has just started held all callers' packets in their socket until it had routes, upstreams and evacuations. After a loss of power of all VMs this took some .45 s. Packets of open flows name their upstreams by their tags and need neither routes nor evacuations. Ruled out: Dropping openings that are read before the registry is complete: callers retransmit them after 200 ms at the earliest. Holding openings in the reducer: refusals need the packet, which the runtime has. Change: The socket is read as soon as the upstreams are known. The reducer decides on each with its whole age, so that openings that another VM may have placed are still told by `pause_detector`. A VM without the whole registry still drops openings that are given to it, refuses none, and resets no flow because of an unknown tag. The time until the upstreams are there is the next part.

--- a/emulator/emulated_fleet.cpp
+++ b/emulator/emulated_fleet.cpp
@@ -267,11 +267,17 @@
            this->nodes[vm]->decides->is_ready();
 }
 
-bool emulated_fleet::heeds_callers(std::uint32_t vm) const
+bool emulated_fleet::takes_in(
+    std::uint32_t vm, packet_phase phase, duration waited) const
 {
     node const& asked = *this->nodes[vm];
-    return asked.decides->knows_destinations() ||
-           this->time.now() >= asked.started_at + longest_start;
+    bool const reads_socket =
+        asked.decides->can_forward_flows() ||
+        this->time.now() >= asked.started_at + longest_start;
+    bool const must_wait = is_opening_phase(phase) &&
+                           !asked.decides->can_place_openings() &&
+                           waited < longest_opening_wait;
+    return reads_socket && !must_wait;
 }
 
 time_point emulated_fleet::thaws_at(std::uint32_t vm) const
@@ -365,7 +371,7 @@
         this->nodes,
         [](auto const& each)
         {
-            return each->is_running && each->decides->knows_destinations();
+            return each->is_running && each->decides->can_place_openings();
         }));
 }
 
--- a/emulator/emulated_fleet.hpp
+++ b/emulator/emulated_fleet.hpp
@@ -108,9 +108,10 @@
     [[nodiscard]] std::uint32_t life_of(std::uint32_t vm) const;
     [[nodiscard]] bool is_ready(std::uint32_t vm) const;
 
-    /// Whether it takes callers' packets; before, they wait. Precondition: it
-    /// runs.
-    [[nodiscard]] bool heeds_callers(std::uint32_t vm) const;
+    /// Whether it takes in a packet of this phase that has waited at it for so
+    /// long; else the packet goes on waiting. Precondition: the VM runs.
+    [[nodiscard]] bool
+    takes_in(std::uint32_t vm, packet_phase phase, duration waited) const;
 
     /// When a VM that was frozen goes on; earlier than now for others. No
     /// precondition.
--- a/emulator/packet_fabric.cpp
+++ b/emulator/packet_fabric.cpp
@@ -131,7 +131,8 @@
             });
     if (now > sent_at + maximum_packet_age)
         return;
-    if (!this->fleet.heeds_callers(vm))
+    duration const waited = now - sent_at - way;
+    if (!this->fleet.takes_in(vm, packet.phase, waited))
         return this->fleet.schedule().add(
             now + look_period,
             [this, vm, from, packet, sent_at, life = this->fleet.life_of(vm)]
@@ -149,7 +150,7 @@
     arrived.token = packet_token(token);
     arrived.tag = packet.tag;
     arrived.progress = packet.progress;
-    arrived.waited = now - sent_at - way;
+    arrived.waited = waited;
     auto const bytes = bytes_of(packet);
     arrived.bytes = bytes;
     this->fleet.pass(vm, arrived);
--- a/libraries/event/event.hpp
+++ b/libraries/event/event.hpp
@@ -34,6 +34,13 @@
     datagram,
 };
 
+/// Whether a packet of this phase asks for a new flow.
+[[nodiscard]] constexpr bool is_opening_phase(packet_phase phase)
+{
+    return phase == packet_phase::opening ||
+           phase == packet_phase::opening_with_data;
+}
+
 /// How far the two directions of a flow have come, as a packet tells it. Where
 /// it stays behind, one side no longer hears the other.
 struct flow_progress
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -190,7 +190,12 @@
     return std::min(*packets_at, *documents_at);
 }
 
-bool reducer::knows_destinations() const
+bool reducer::can_forward_flows() const
+{
+    return !this->is_tagged() || this->tagged.knows_upstreams();
+}
+
+bool reducer::can_place_openings() const
 {
     return !this->is_tagged() || this->tagged.is_informed();
 }
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -62,9 +62,13 @@
     /// it is not about to leave. Precondition: started.
     [[nodiscard]] bool is_ready() const;
 
-    /// Whether callers' packets can be decided about: without the registry,
+    /// Whether packets of open flows can be forwarded: without the upstreams,
     /// those with tags can only be dropped. No precondition.
-    [[nodiscard]] bool knows_destinations() const;
+    [[nodiscard]] bool can_forward_flows() const;
+
+    /// Whether openings can be placed: without the whole registry, those with
+    /// tags can only be dropped. No precondition.
+    [[nodiscard]] bool can_place_openings() const;
 
     /// The pins, for measurements and views.
     [[nodiscard]] pin_table const& pins() const;
--- a/libraries/runtime/packet_thread.cpp
+++ b/libraries/runtime/packet_thread.cpp
@@ -290,6 +290,7 @@
     static_cast<void>(this->driver.carry_out_effects());
     this->sender.flush();
     this->shared.is_ready = this->driver.state().is_ready();
+    this->intake.release_openings();
     this->heed_callers_when_informed();
     this->arm_deadline();
 }
@@ -299,8 +300,9 @@
     // Fabrics send callers to a VM that has just started before it knows the
     // registry, most of all where all VMs start at once. Dropped packets come
     // again after 200 ms at the earliest; those that wait in the socket are
-    // late by what is left of the start.
-    bool const is_time = this->driver.state().knows_destinations() ||
+    // late by what is left of the start. Openings wait on in the process until
+    // the registry is complete.
+    bool const is_time = this->driver.state().can_forward_flows() ||
                          this->driver.now() >= this->heeds_callers_at;
     if (this->heeds_callers || !is_time)
         return;
--- a/libraries/runtime/packet_thread.hpp
+++ b/libraries/runtime/packet_thread.hpp
@@ -99,7 +99,7 @@
     time_point next_gauges_at;
     time_point next_flush_at;
     /// Callers' packets wait in their socket until then, or until the VM knows
-    /// where they belong.
+    /// the upstreams.
     time_point heeds_callers_at;
     bool heeds_callers = false;
     unsigned signal_count = 0;
--- a/libraries/runtime/traffic_intake.cpp
+++ b/libraries/runtime/traffic_intake.cpp
@@ -2,6 +2,9 @@
 
 #include <runtime/clocks.hpp>
 
+#include <utility>
+#include <vector>
+
 namespace cairnhead
 {
 
@@ -77,12 +80,61 @@
 }
 
 void traffic_intake::finish_batch(source& finished)
+{
+    this->carry_out();
+    this->count_overflows(finished);
+}
+
+void traffic_intake::carry_out()
 {
     std::size_t const undecided = this->parts.driver.carry_out_effects();
     this->parts.sender.flush();
     for (std::size_t index = 0; index < undecided; ++index)
         this->parts.counters.count_fault(index_of(transfer_fault::undecided));
-    this->count_overflows(finished);
+}
+
+bool traffic_intake::must_wait(
+    received_datagram const& from, packet_view const& packet)
+{
+    bool const may_wait = packet.tag.has_value() &&
+                          is_opening_phase(packet.phase) &&
+                          !this->parts.driver.state().can_place_openings();
+    return may_wait &&
+           this->openings.add(
+               this->parts.driver.now(), from, this->time_waited(from));
+}
+
+void traffic_intake::release_openings()
+{
+    bool const is_informed = this->parts.driver.state().can_place_openings();
+    auto const take_next = [this, is_informed]
+    {
+        return is_informed ? this->openings.take()
+                           : this->openings.take_due(this->parts.driver.now());
+    };
+    // Effects view the bytes of their packets until they are carried out.
+    std::vector<waiting_opening> batch;
+    while (auto opening = take_next())
+    {
+        batch.push_back(std::move(*opening));
+        this->release(batch.back());
+        if (batch.size() < batch_size)
+            continue;
+        this->carry_out();
+        batch.clear();
+    }
+    if (!batch.empty())
+        this->carry_out();
+}
+
+void traffic_intake::release(waiting_opening const& opening)
+{
+    // Its age is given to the reducer, which tells openings that are too old.
+    auto const read =
+        this->fabric_reader.read(opening.datagram(), opening.received_at);
+    if (auto const* const packet = std::get_if<packet_view>(&read))
+        this->parts.driver.route(
+            *packet, std::nullopt, opening.waited(this->parts.driver.now()));
 }
 
 void traffic_intake::count_overflows(source& finished)
@@ -101,6 +153,8 @@
 {
     if (!packet.tag.has_value() && this->is_of_refused_flow(packet))
         return this->parts.refusals.continue_refusal(packet);
+    if (this->must_wait(from, packet))
+        return;
     this->parts.driver.route(packet, std::nullopt, this->time_waited(from));
 }
 
--- a/libraries/runtime/traffic_intake.hpp
+++ b/libraries/runtime/traffic_intake.hpp
@@ -9,6 +9,7 @@
 #include <runtime/reducer_driver.hpp>
 #include <runtime/refuser.hpp>
 #include <runtime/udp_socket.hpp>
+#include <runtime/waiting_openings.hpp>
 
 namespace cairnhead
 {
@@ -51,6 +52,11 @@
     /// be more. Throws as above.
     bool take_from_peers();
 
+    /// Has the reducer decide on the openings that waited for the registry: on
+    /// all once it is complete, and else on those that waited for too long. No
+    /// precondition.
+    void release_openings();
+
 private:
     /// One socket's batch, with the kernel's count of overflows so far.
     struct source
@@ -62,6 +68,11 @@
     [[nodiscard]] bool is_of_refused_flow(packet_view const& packet) const;
     void begin_batch();
     void finish_batch(source& finished);
+    void carry_out();
+    /// Lets an opening wait for the registry; false if it must be decided now.
+    [[nodiscard]] bool
+    must_wait(received_datagram const& from, packet_view const& packet);
+    void release(waiting_opening const& opening);
     [[nodiscard]] duration time_waited(received_datagram const& datagram) const;
     void count_overflows(source& finished);
     void take(received_datagram const& from, packet_view const& packet);
@@ -75,6 +86,7 @@
     peer_ingest peer_reader;
     source fabric;
     source peers;
+    waiting_openings openings;
     wall_time batch_begun_at;
     wall_time oldest_accepted;
 };
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -63,9 +63,8 @@
         this->in_force.evacuations = versions.evacuations;
         this->apply_listing(now, std::move(contents.evacuations));
     }
-    // Callers' packets are queued until the registry is complete. Another VM
-    // may have placed the retransmissions of openings that were queued for
-    // long.
+    // Openings are queued until the registry is complete. Another VM may have
+    // placed the retransmissions of openings that were queued for long.
     if (this->is_informed() && !was_informed)
         this->pauses.record_pause_end(now);
 }
@@ -118,12 +117,13 @@
     // upstreams, though other VMs could place it: when VMs started after all
     // had been down, callers saw this as resets. The caller's retransmission
     // reaches a VM that has the whole registry.
-    if (!this->is_informed())
+    bool const is_opening = is_opening_phase(packet.phase);
+    bool const can_decide =
+        is_opening ? this->is_informed() : this->knows_upstreams();
+    if (!can_decide)
         return this->drop(
             packet, drop_reason::not_ready, flow_rule::registry_incomplete,
             effects);
-    bool const is_opening = packet.phase == packet_phase::opening ||
-                            packet.phase == packet_phase::opening_with_data;
     if (is_opening)
         this->route_opening(now, packet, effects);
     else
@@ -359,6 +359,11 @@
            this->evacuations != nullptr;
 }
 
+bool tag_router::knows_upstreams() const
+{
+    return this->listed_upstreams != nullptr;
+}
+
 registry_knowledge const& tag_router::registry() const
 {
     return this->in_force;
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -128,9 +128,13 @@
     /// failure domains checked again.
     void tick(time_point now, effect_list& effects);
 
-    /// Whether all listings were received. Until then all packets are dropped.
+    /// Whether all listings were received. Until then openings are dropped.
     [[nodiscard]] bool is_informed() const;
 
+    /// Whether packets of open flows can be forwarded: their tags name
+    /// upstreams, and neither routes nor evacuations are needed.
+    [[nodiscard]] bool knows_upstreams() const;
+
     /// The versions of the listings in force, and since when they are.
     [[nodiscard]] registry_knowledge const& registry() const;
 
--- a/tests/reducer/tagged_readiness_test.cpp
+++ b/tests/reducer/tagged_readiness_test.cpp
@@ -174,6 +174,57 @@
     cr_expect_eq(drops, 1);
 }
 
+// Symptom: requests on open flows time out after a loss of power of all VMs.
+// Sequence: the upstreams come first, the routes .4 s later, and packets of
+// open flows wait meanwhile. Cause: the whole registry was awaited for packets
+// whose tags already name their upstreams.
+Test(tagged_readiness, upstreams_alone_serve_open_flows)
+{
+    lone_vm vm;
+    registered_upstream upstream;
+    upstream.instance = instance_number(5);
+    upstream.pool = "main";
+    upstream.address = ipv4_address(0x0a020005);
+    upstream.port = 9000;
+    upstream_listing listed;
+    listed.upstreams.push_back(upstream);
+    time_point const moment = lone_vm::start + 100ms;
+    vm.apply_at(
+        moment, document_fetched{
+                    std::nullopt, std::string(upstream_document_name),
+                    document_version(1), encode_listing(listed)});
+    cr_expect_not(vm.is_ready());
+    packet_arrived packet;
+    packet.flow = flow_id(7);
+    packet.tag = tag_of(upstream.instance);
+    auto const decided = vm.apply_at(moment, packet);
+    cr_expect(std::ranges::any_of(
+        decided,
+        [](effect const& each)
+        {
+            return std::holds_alternative<send_tagged>(each);
+        }));
+    // No flow may be reset because its upstream is not known here, and no
+    // opening refused.
+    packet.flow = flow_id(8);
+    packet.tag = tag_of(instance_number(6));
+    packet_arrived opening = packet;
+    opening.flow = flow_id(9);
+    opening.phase = packet_phase::opening;
+    opening.tag = upstream_tag();
+    for (auto const& each : {packet, opening})
+    {
+        auto const effects = vm.apply_at(moment, each);
+        cr_assert_not(effects.empty());
+        cr_expect(std::holds_alternative<drop_packet>(effects.front()));
+        for (effect const& other : effects)
+        {
+            cr_expect_not(std::holds_alternative<refuse_opening>(other));
+            cr_expect_not(std::holds_alternative<reset_known_flow>(other));
+        }
+    }
+}
+
 // Symptom: packets of callers are lost at a planned stop. Sequence: a VM starts
 // while the platform is down and learns the registry late; it is ready, and is
 // told to stop before it has joined its peers. Cause: a VM that no peer knows
--- a/tests/tagging/test_evacuation.cpp
+++ b/tests/tagging/test_evacuation.cpp
@@ -122,6 +122,7 @@
         now, {.routes = std::make_shared<route_listing const>(),
               .upstreams = std::make_shared<upstream_listing const>()});
     cr_expect_not(router.is_informed());
+    cr_expect(router.knows_upstreams());
     router.set_listings(
         now, {.evacuations = std::make_shared<evacuation_listing const>()});
     cr_expect(router.is_informed());
