Versions, Platform: Read the upstreams alone if no seed answers

Cause: After a loss of power of all VMs most of them wait for the seeds, which start last, although packets of open flows need only the upstreams. Ruled out: A complete read by each VM: it is counted toward the store's limit, and the routes take .4 s on a link of 10 Mbit/s. Taking the read for a version of the document: it may be older than what peers have. Comparing the document with the read: neither is known to be the later one, and an upstream could be taken for the successor of another at its address, which resets live flows. Change: A VM that no seed answered within 20 ms reads the upstreams' pages, at most six, with allowStale=1 and beside its other calls. VMs that read everything use the upstreams' pages of that read in the same way, before the configuration is there. The listing forwards packets of open flows until the document comes; it is not stored, not passed on, and places nothing. Entries with one tag are left out, as without the configuration it is not known which is an upstream. The emulator has links of seeds, pages of a given size, and complete reads and fetches that take the reader's link.

--- a/emulator/emulated_fleet.cpp
+++ b/emulator/emulated_fleet.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <ctime>
 #include <numeric>
+#include <utility>
 
 namespace cairnhead::emulator
 {
@@ -23,6 +24,7 @@
 /// As the client of the metadata store reads it.
 constexpr duration call_period = 1s;
 constexpr duration call_time = 4ms;
+constexpr std::uint32_t maximum_stale_pages = 6;
 
 /// All VMs of a deployment start within this.
 constexpr duration start_spread = 300ms;
@@ -99,7 +101,7 @@
     for (std::uint32_t vm = 0; vm < shape.vms; ++vm)
         this->nodes.push_back(std::make_unique<node>());
     // In three failure domains, as far as there are so many.
-    for (std::uint32_t vm = 0; vm < std::min(shape.vms, std::uint32_t{3}); ++vm)
+    for (std::uint32_t vm = 0; vm < std::min(shape.vms, seed_count); ++vm)
         this->seeds.push_back(vm);
 }
 
@@ -518,6 +520,8 @@
             this->carry_out(vm, *wanted);
         if (auto const* const wanted = std::get_if<watch_platform>(&each))
             this->carry_out(vm, *wanted);
+        if (std::holds_alternative<read_upstreams>(each))
+            this->read_stale_upstreams(vm);
         if (auto const* const wanted = std::get_if<fetch_document>(&each))
             this->carry_out(vm, *wanted);
         if (auto const* const told = std::get_if<report>(&each))
@@ -653,9 +657,16 @@
         reading.has_read_platform ? call_bytes : this->store.complete_bytes();
     for (std::uint32_t call = 0; call < calls; ++call)
         this->counted.note_platform_call(vm, bytes / calls);
-    reading.has_read_platform = true;
+    bool const is_complete = !std::exchange(reading.has_read_platform, true);
+    // The upstreams' pages come before what operators wrote.
+    if (is_complete)
+        this->tell_upstreams(
+            vm, call_time * static_cast<int>(this->store.pages()) +
+                    this->send_time(vm, this->store.upstream_bytes()));
+    std::uint64_t const left =
+        is_complete ? bytes - this->store.upstream_bytes() : bytes;
     this->schedule_for(
-        vm, call_time * static_cast<int>(calls),
+        vm, call_time * static_cast<int>(calls) + this->send_time(vm, left),
         [this, vm]
         {
             this->answer_watch(vm);
@@ -695,6 +706,33 @@
     this->apply(vm, std::move(listed));
 }
 
+void emulated_fleet::read_stale_upstreams(std::uint32_t vm)
+{
+    if (!this->is_reading(vm))
+        return;
+    // Such reads aren't counted as calls, as the store doesn't count them.
+    std::uint32_t const pages =
+        std::min(this->store.pages(), maximum_stale_pages);
+    duration const taken =
+        call_time * static_cast<int>(pages) +
+        this->send_time(
+            vm, this->store.upstream_bytes() / this->store.pages() * pages);
+    if (pages == this->store.pages())
+        this->tell_upstreams(vm, taken);
+}
+
+void emulated_fleet::tell_upstreams(std::uint32_t vm, duration after)
+{
+    this->schedule_for(
+        vm, after,
+        [this, vm]
+        {
+            this->apply(
+                vm, upstreams_read{std::make_shared<upstream_listing const>(
+                        this->store.upstreams_now())});
+        });
+}
+
 void emulated_fleet::carry_out(std::uint32_t vm, fetch_document const& wanted)
 {
     if (wanted.source)
@@ -754,7 +792,9 @@
                 source, vm, bytes,
                 this->where.domain_of(vm) != this->where.domain_of(source),
                 std::variant_size_v<control_body>);
-            duration const sent = this->send_time(source, bytes);
+            // The receiver takes in what comes while the sender sends on.
+            duration const sent = std::max(
+                this->send_time(source, bytes), this->send_time(vm, bytes));
             this->time.add(
                 this->time.now() + sent + way,
                 [this, vm, life, is_given, failed, wanted, held]
--- a/emulator/emulated_fleet.hpp
+++ b/emulator/emulated_fleet.hpp
@@ -150,6 +150,8 @@
     void carry_out(std::uint32_t vm, effect_list const& effects);
     void carry_out(std::uint32_t vm, send_control const& wanted);
     void carry_out(std::uint32_t vm, watch_platform const& wanted);
+    void read_stale_upstreams(std::uint32_t vm);
+    void tell_upstreams(std::uint32_t vm, duration after);
     void carry_out(std::uint32_t vm, fetch_document const& wanted);
     void carry_out(std::uint32_t vm, report const& told);
     void fetch_from_platform(std::uint32_t vm, fetch_document const& wanted);
--- a/emulator/registry_store.cpp
+++ b/emulator/registry_store.cpp
@@ -14,8 +14,6 @@
 constexpr std::uint16_t route_port = 443;
 constexpr std::uint16_t upstream_port = 8080;
 
-/// Items of a page, and bytes of an item in the platform's form.
-constexpr std::uint32_t items_per_page = 500;
 constexpr std::uint64_t bytes_per_item = 300;
 
 std::string pool_name(std::uint32_t number)
@@ -245,14 +243,18 @@
 {
     auto const items =
         static_cast<std::uint32_t>(this->upstreams.listing.upstreams.size());
-    return items / items_per_page + 1;
+    return items / this->place.shape().items_per_page + 1;
+}
+
+std::uint64_t registry_store::upstream_bytes() const
+{
+    return this->upstreams.listing.upstreams.size() * bytes_per_item;
 }
 
 std::uint64_t registry_store::complete_bytes() const
 {
-    return (this->upstreams.listing.upstreams.size() +
-            this->routes.listing.routes.size()) *
-           bytes_per_item;
+    return this->upstream_bytes() +
+           this->routes.listing.routes.size() * bytes_per_item;
 }
 
 } // namespace cairnhead::emulator
--- a/emulator/registry_store.hpp
+++ b/emulator/registry_store.hpp
@@ -60,7 +60,9 @@
     /// How many pages a complete read takes. No precondition.
     [[nodiscard]] std::uint32_t pages() const;
 
-    /// How many bytes a complete read takes. No precondition.
+    /// How many bytes the upstreams' pages have, and how many a complete read
+    /// takes. No precondition.
+    [[nodiscard]] std::uint64_t upstream_bytes() const;
     [[nodiscard]] std::uint64_t complete_bytes() const;
 
 private:
--- a/emulator/topology.hpp
+++ b/emulator/topology.hpp
@@ -10,6 +10,9 @@
 namespace cairnhead::emulator
 {
 
+/// The first VMs are the seeds, as far as there are so many.
+inline constexpr std::uint32_t seed_count = 3;
+
 /// How a fleet is laid out. VMs, upstreams and failure domains are shared out
 /// evenly.
 struct topology
@@ -26,6 +29,10 @@
     duration delay_between_regions = std::chrono::milliseconds(8);
     /// Of the link of each VM.
     std::uint32_t link_megabits = 100;
+    /// Of the links of the seeds; zero if they are as all others.
+    std::uint32_t seed_link_megabits = 0;
+    /// Of what the platform's store gives at once.
+    std::uint32_t items_per_page = 500;
     /// Of the datagrams between VMs.
     std::uint32_t lost_permille = 0;
 };
--- a/emulator/vm_network.cpp
+++ b/emulator/vm_network.cpp
@@ -56,9 +56,11 @@
 {
     constexpr std::uint64_t bits_of_byte = 8;
     constexpr std::uint64_t nanoseconds_each = 1'000;
-    duration const taken(
-        bytes * bits_of_byte * nanoseconds_each /
-        this->where.shape().link_megabits);
+    topology const& shape = this->where.shape();
+    bool const is_other = vm < seed_count && shape.seed_link_megabits != 0;
+    std::uint32_t const megabits =
+        is_other ? shape.seed_link_megabits : shape.link_megabits;
+    duration const taken(bytes * bits_of_byte * nanoseconds_each / megabits);
     time_point& free_at = this->links_free_at[vm];
     free_at = std::max(free_at, now) + taken;
     return free_at;
--- a/libraries/event/effect.hpp
+++ b/libraries/event/effect.hpp
@@ -169,6 +169,13 @@
     reading_extent extent = reading_extent::everything;
 };
 
+/// Read the platform's upstreams in a hurry, from any of its replicas; at most
+/// one `upstreams_read` answers it. None comes when the read fails or the
+/// platform has too many upstreams.
+struct read_upstreams
+{
+};
+
 /// Fetch a document; exactly one `document_fetched` or
 /// `document_fetch_failed` answers it.
 struct fetch_document
@@ -273,6 +280,7 @@
     drop_packet,
     send_control,
     watch_platform,
+    read_upstreams,
     fetch_document,
     probe_upstream,
     observe_handshake,
--- a/libraries/event/event.hpp
+++ b/libraries/event/event.hpp
@@ -6,6 +6,7 @@
 #include <registry/tag.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -17,6 +18,8 @@
 namespace cairnhead
 {
 
+struct upstream_listing;
+
 /// What a caller's packet means for its flow.
 enum class packet_phase : std::uint8_t
 {
@@ -159,6 +162,13 @@
     document_version evacuations{};
 };
 
+/// A read of the platform's upstreams ended. Their listing may be seconds old
+/// and has no version.
+struct upstreams_read
+{
+    std::shared_ptr<upstream_listing const> listing;
+};
+
 /// A document's text arrived.
 struct document_fetched
 {
@@ -196,6 +206,7 @@
         platform_listed,
         platform_failed,
         platform_answered,
+        upstreams_read,
         document_fetched,
         document_fetch_failed,
         upstream_probed>;
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -436,6 +436,11 @@
     this->versions.receive(now, body, out);
 }
 
+void reducer::handle(time_point now, upstreams_read const& body, effect_list&)
+{
+    this->tagged.set_early_upstreams(now, body.listing);
+}
+
 void reducer::handle(
     time_point now, document_fetched const& body, effect_list& out)
 {
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -88,6 +88,7 @@
     void handle(time_point now, document_fetched const& body, effect_list& out);
     void
     handle(time_point now, document_fetch_failed const& body, effect_list& out);
+    void handle(time_point now, upstreams_read const& body, effect_list& out);
     void handle(time_point now, upstream_probed const& body, effect_list& out);
 
     void receive(
--- a/libraries/runtime/effect_executor.cpp
+++ b/libraries/runtime/effect_executor.cpp
@@ -124,6 +124,11 @@
     this->parts.calls.start(wanted);
 }
 
+void effect_executor::carry_out(read_upstreams const& wanted)
+{
+    this->parts.calls.start(wanted);
+}
+
 void effect_executor::carry_out(fetch_document const& wanted)
 {
     this->parts.calls.start(wanted);
--- a/libraries/runtime/effect_executor.hpp
+++ b/libraries/runtime/effect_executor.hpp
@@ -60,6 +60,7 @@
     void carry_out(drop_packet const& wanted);
     void carry_out(send_control const& wanted);
     void carry_out(watch_platform const& wanted);
+    void carry_out(read_upstreams const& wanted);
     void carry_out(fetch_document const& wanted);
     void carry_out(probe_upstream const& wanted);
     void carry_out(observe_handshake const& wanted);
--- a/libraries/runtime/inbox.hpp
+++ b/libraries/runtime/inbox.hpp
@@ -63,6 +63,7 @@
 using inbox_item = std::variant<
     platform_listed,
     platform_failed,
+    upstreams_read,
     document_fetched,
     document_fetch_failed,
     upstream_probed,
--- a/libraries/runtime/remote_calls.cpp
+++ b/libraries/runtime/remote_calls.cpp
@@ -42,6 +42,16 @@
     client.watch(wanted.after, wanted.wait, wanted.known, wanted.extent);
 }
 
+/// That platform lists no upstreams.
+void start_read(platform_client&)
+{
+}
+
+void start_read(metadata_store_client& client)
+{
+    client.read_upstreams();
+}
+
 document_client::on_result post_documents(inbox& results)
 {
     return [&results](document_result result)
@@ -92,6 +102,10 @@
             {
                 results.post(
                     registry_entry_rejected{entry.key, to_text(entry.fault)});
+            },
+            [&results](upstreams_read read)
+            {
+                results.post(std::move(read));
             });
     }
     return {};
@@ -107,6 +121,16 @@
         this->platform);
 }
 
+void remote_calls::start(read_upstreams const&)
+{
+    std::visit(
+        [](auto const& client)
+        {
+            start_read(*client);
+        },
+        this->platform);
+}
+
 void remote_calls::start(fetch_document const& wanted)
 {
     if (wanted.source.has_value())
--- a/libraries/runtime/remote_calls.hpp
+++ b/libraries/runtime/remote_calls.hpp
@@ -27,8 +27,10 @@
         authenticator const& keys,
         inbox& results);
 
-    /// Starts a call; exactly one result arrives. No precondition.
+    /// Starts a call; exactly one result arrives, and of a read of the
+    /// upstreams one at most. No precondition.
     void start(watch_platform const& wanted);
+    void start(read_upstreams const& wanted);
     void start(fetch_document const& wanted);
     void start(probe_upstream const& wanted);
 
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -84,11 +84,16 @@
     time_point now, std::shared_ptr<upstream_listing const> listing)
 {
     this->in_force.upstreams_since = now;
+    bool const was_early = this->early_upstreams != nullptr;
+    if (was_early)
+        this->forget_early_upstreams();
     auto const previous =
         std::exchange(this->listed_upstreams, std::move(listing));
     auto const outcome = this->upstream_table.update(
         now, previous == nullptr ? upstream_listing() : *previous,
         *this->listed_upstreams);
+    if (was_early)
+        this->count_flows_again();
     for (upstream_tag const tag : outcome.restarted)
         this->remove_flows_of(tag);
     this->replaced_upstreams.insert(
@@ -96,6 +101,35 @@
         outcome.taken_over.end());
 }
 
+void tag_router::set_early_upstreams(
+    time_point now, std::shared_ptr<upstream_listing const> listing)
+{
+    if (this->knows_upstreams() || listing == nullptr)
+        return;
+    this->early_upstreams = std::move(listing);
+    (void)this->upstream_table.update(now, {}, *this->early_upstreams);
+}
+
+void tag_router::forget_early_upstreams()
+{
+    // Neither of the two listings is known to be the later one. If the document
+    // counted as a change of the early listing, an upstream that is new in
+    // either could be taken for the successor of another at its address, and
+    // live flows would be reset.
+    this->early_upstreams.reset();
+    this->upstream_table.clear();
+}
+
+void tag_router::count_flows_again()
+{
+    this->flows.visit(
+        [this](tagged_flow const& flow)
+        {
+            if (auto* const upstream = this->upstream_table.find(flow.upstream))
+                ++upstream->flows;
+        });
+}
+
 void tag_router::apply_listing(
     time_point now, std::shared_ptr<evacuation_listing const> listing)
 {
@@ -361,7 +395,8 @@
 
 bool tag_router::knows_upstreams() const
 {
-    return this->listed_upstreams != nullptr;
+    return this->listed_upstreams != nullptr ||
+           this->early_upstreams != nullptr;
 }
 
 registry_knowledge const& tag_router::registry() const
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -73,6 +73,13 @@
         registry_contents contents,
         registry_versions versions = {});
 
+    /// Forwards packets of open flows by this listing until the upstreams'
+    /// document is there; ignored from then on. It may be seconds old, which
+    /// does no harm to open flows: each packet names the instance that it is
+    /// meant for.
+    void set_early_upstreams(
+        time_point now, std::shared_ptr<upstream_listing const> listing);
+
     /// Sets the VMs of the own failure domain, including this one; empty while
     /// they are not known.
     void set_domain_vms(vm_id self, std::span<vm_id const> vms);
@@ -245,6 +252,8 @@
         time_point now, std::shared_ptr<upstream_listing const> listing);
     void apply_listing(
         time_point now, std::shared_ptr<evacuation_listing const> listing);
+    void forget_early_upstreams();
+    void count_flows_again();
     void report_reachability_changes(effect_list& effects);
     void start_due_checks(time_point now, effect_list& effects);
     void suspect_upstreams_of(failure_domain_id domain);
@@ -361,6 +370,8 @@
     tagging_settings const& settings;
     std::shared_ptr<route_listing const> routes;
     std::shared_ptr<upstream_listing const> listed_upstreams;
+    /// Null once the listing above is there.
+    std::shared_ptr<upstream_listing const> early_upstreams;
     std::shared_ptr<evacuation_listing const> evacuations;
     /// Versions of the listings above, and since when each is in force.
     registry_knowledge in_force;
--- a/libraries/tagging/tagged_flows.hpp
+++ b/libraries/tagging/tagged_flows.hpp
@@ -83,6 +83,14 @@
             });
     }
 
+    /// Calls `visitor` for each flow, in no particular order.
+    template <typename Function>
+    void visit(Function const& visitor) const
+    {
+        for (auto const& [id, flow] : this->flows)
+            visitor(flow);
+    }
+
     /// Removes all established flows of an upstream, and returns them sorted by
     /// caller.
     [[nodiscard]] std::vector<tagged_flow>
--- a/libraries/tagging/tagged_upstreams.cpp
+++ b/libraries/tagging/tagged_upstreams.cpp
@@ -84,6 +84,13 @@
     return outcome;
 }
 
+void tagged_upstreams::clear()
+{
+    this->upstreams.clear();
+    this->waiting_for_tag.clear();
+    this->rebuild_index();
+}
+
 void tagged_upstreams::mark_missing(time_point now, instance_number instance)
 {
     this->waiting_for_tag.erase(instance);
--- a/libraries/tagging/tagged_upstreams.hpp
+++ b/libraries/tagging/tagged_upstreams.hpp
@@ -134,6 +134,9 @@
         upstream_listing const& before,
         upstream_listing const& listing);
 
+    /// Forgets all upstreams, as if no listing had been received.
+    void clear();
+
     /// Whether another upstream registered at the same address later. An
     /// address is reassigned only after its upstream has stopped. Connections
     /// then reach the new upstream, which ignores packets meant for the old
--- a/libraries/versions/joining.cpp
+++ b/libraries/versions/joining.cpp
@@ -30,8 +30,8 @@
 constexpr std::uint32_t early_reader_percent = 5;
 constexpr std::uint32_t whole_percent = 100;
 
-/// A VM reads the first page after this: seeds that are up have answered by
-/// then.
+/// A VM reads the upstreams and the first page after this: seeds that are up
+/// have answered by then.
 constexpr duration answer_timeout = std::chrono::milliseconds(20);
 
 /// A VM that receives no answer reads the platform after the shorter time, and
@@ -72,6 +72,15 @@
     this->has_several_pages = true;
 }
 
+bool joining::take_upstreams_read(time_point now)
+{
+    bool const is_due = this->has_begun && !this->has_read_upstreams &&
+                        now >= this->first_page_read_at &&
+                        now < this->complete_read_at && !this->was_referred;
+    this->has_read_upstreams |= is_due;
+    return is_due;
+}
+
 bool joining::take_due(time_point now)
 {
     if (now < this->next_request_at)
--- a/libraries/versions/joining.hpp
+++ b/libraries/versions/joining.hpp
@@ -53,6 +53,11 @@
     [[nodiscard]] std::vector<vm_id> follow(
         time_point now, join_referral const& referral, version_random& random);
 
+    /// Whether to read the platform's upstreams now, for packets of open flows
+    /// alone: no peer has answered in time, and this VM does not read the whole
+    /// platform. True once at most.
+    [[nodiscard]] bool take_upstreams_read(time_point now);
+
     /// Records that the platform holds more than one page.
     void record_several_pages();
 
@@ -82,6 +87,7 @@
     bool is_seed = false;
     bool is_reading_first_page = false;
     bool has_several_pages = false;
+    bool has_read_upstreams = false;
     bool was_referred = false;
     /// Whether a referral arrived since the last request.
     bool is_referral_pending = false;
--- a/libraries/versions/version_store.cpp
+++ b/libraries/versions/version_store.cpp
@@ -84,6 +84,7 @@
         for (vm_id const listener : attempt->announced_to)
             effects.push_back(send_control{listener, reading_attempt{}});
     }
+    this->start_upstreams_read(now, effects);
     auto const first = static_cast<std::ptrdiff_t>(effects.size());
     this->watch.tick(now, this->access, this->random, effects);
     for (effect& started : std::span(effects).subspan(first))
--- a/libraries/versions/version_store.hpp
+++ b/libraries/versions/version_store.hpp
@@ -192,6 +192,7 @@
 private:
     void ensure_deadlines(time_point now);
     void send_join_requests(time_point now, effect_list& effects);
+    void start_upstreams_read(time_point now, effect_list& effects);
     void send_join_request(
         vm_id peer, join_request const& request, effect_list& effects) const;
     void serve_joiners(time_point now, effect_list& effects);
--- a/libraries/versions/version_store_joining.cpp
+++ b/libraries/versions/version_store_joining.cpp
@@ -42,6 +42,13 @@
         this->send_join_request(peer.id, this->join.request(), effects);
 }
 
+void version_store::start_upstreams_read(time_point now, effect_list& effects)
+{
+    bool const is_alone = !this->has_peer_answered && this->documents.empty();
+    if (is_alone && this->join.take_upstreams_read(now))
+        effects.push_back(read_upstreams{});
+}
+
 void version_store::send_join_request(
     vm_id peer, join_request const& request, effect_list& effects) const
 {
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -154,6 +154,10 @@
     void carry_out(node& source, drop_packet const& body);
     void carry_out(node& source, send_control const& body);
     void carry_out(node& source, watch_platform const& body);
+    /// The platform of this fleet lists no upstreams.
+    void carry_out(node&, read_upstreams const&)
+    {
+    }
     void carry_out(node& source, fetch_document const& body);
     void carry_out(node& source, probe_upstream const& body);
     void carry_out(node& source, observe_handshake const& body);
--- a/tests/users_platform/test_metadata_store_client.cpp
+++ b/tests/users_platform/test_metadata_store_client.cpp
@@ -17,17 +17,18 @@
 using event_type = metadata_store_client::event_type;
 
 /// Events as they arrive from the client's thread.
-class event_queue
+template <typename Event>
+class basic_event_queue
 {
 public:
-    void push(event_type event)
+    void push(Event event)
     {
         std::lock_guard const lock(this->mutex);
         this->events.push_back(std::move(event));
         this->changed.notify_one();
     }
 
-    event_type pop()
+    Event pop()
     {
         std::unique_lock lock(this->mutex);
         this->changed.wait(
@@ -44,9 +45,11 @@
 private:
     std::mutex mutex;
     std::condition_variable changed;
-    std::deque<event_type> events;
+    std::deque<Event> events;
 };
 
+using event_queue = basic_event_queue<event_type>;
+
 /// A store on a loopback port that answers each path from a script, and ranges
 /// of operators' keys from one of their own: the first answers go once each,
 /// the last one stays. Notes the queries.
@@ -203,10 +206,18 @@
 
     store_standin store;
     event_queue events;
+    basic_event_queue<upstreams_read> reads;
     metadata_store_client client{
-        this->store.url(), [this](event_type event)
+        this->store.url(),
+        [this](event_type event)
         {
             this->events.push(std::move(event));
+        },
+        {},
+        {},
+        [this](upstreams_read read)
+        {
+            this->reads.push(std::move(read));
         }};
 };
 
@@ -358,6 +369,62 @@
     cr_expect(asked == expected);
 }
 
+// Guards against a read of its own that waits for other calls, counts toward
+// the store's limit, or names another upstream than the packets' tags.
+Test(metadata_store_client, reads_upstreams_alone_from_any_replica)
+{
+    fixture bench;
+    // Keys end in hexadecimal numbers, of which tags are the lower half: the
+    // last two have one tag.
+    bench.store.script(
+        "kv-range",
+        {{200,
+          make_page(
+              "items",
+              {make_upstream(1, 4), make_written("servers/i-2", 5, "no JSON")},
+              10, true)},
+         {200,
+          make_page(
+              "items",
+              {make_upstream(3, 11), make_written(
+                                         "servers/i-100000003", 6,
+                                         make_value("10.0.0.9:80", "ready"))},
+              11)}});
+    bench.client.read_upstreams();
+    auto const read = bench.reads.pop();
+    cr_assert_eq(read.listing->upstreams.size(), 1);
+    cr_expect(read.listing->upstreams[0].instance == instance_number(1));
+    std::vector<std::string> const stale = {"1", "1"};
+    cr_expect(bench.store.asked("kv-range", "allowStale") == stale);
+}
+
+// Guards against a VM of a large deployment that reads the whole registry, and
+// against one that takes a part of it, or a refusal, for the whole.
+Test(metadata_store_client, a_read_of_upstreams_ends_after_six_pages)
+{
+    fixture bench;
+    bench.store.script(
+        "kv-range",
+        {{200, make_page("items", {make_upstream(1, 4)}, 10, true)}});
+    bench.client.read_upstreams();
+    while (bench.store.asked("kv-range", "allowStale").size() < 6)
+        std::this_thread::yield();
+    bench.store.script("kv-range", {{503, make_page("items", {}, 20)}});
+    bench.client.read_upstreams();
+    while (bench.store.asked("kv-range", "allowStale").size() < 7)
+        std::this_thread::yield();
+    // The watch is answered after both reads, and tells of its own.
+    bench.store.script(
+        "kv-range", {{200, make_page("items", {make_upstream(5, 4)}, 10)}});
+    bench.watch(0);
+    auto const read = bench.reads.pop();
+    cr_assert_eq(read.listing->upstreams.size(), 1);
+    cr_expect(read.listing->upstreams[0].instance == instance_number(5));
+    std::vector<std::string> const flags = {"1", "1", "1", "1", "1",
+                                            "1", "1", "",  ""};
+    cr_expect(bench.store.asked("kv-range", "allowStale") == flags);
+}
+
 Test(metadata_store_client, refusals_and_garbage_are_failures)
 {
     // Symptom: a VM forgets all upstreams. Sequence: the store refuses a call,
--- a/tests/versions/test_joining.cpp
+++ b/tests/versions/test_joining.cpp
@@ -306,6 +306,29 @@
     cr_expect(answered.choose_access(start + 20ms) == platform_access::none);
 }
 
+// Guards against a start of all VMs in which open flows wait for late seeds,
+// and against reads that serve nobody: a VM that a seed answered in time gets
+// the documents, and a VM that reads everything sees the upstreams first.
+Test(joining, upstreams_are_read_once_if_no_seed_answers_in_time)
+{
+    version_random random(3);
+    joining vm(self);
+    cr_expect_not(vm.take_upstreams_read(start + 1s), "it has not begun");
+    vm.begin(start, false, random);
+    cr_expect_not(vm.take_upstreams_read(start + 19ms));
+    cr_expect(vm.take_upstreams_read(start + 20ms));
+    cr_expect_not(vm.take_upstreams_read(start + 30ms));
+
+    joining answered(self);
+    answered.begin(start, false, random);
+    (void)answered.follow(start + 19ms, {{vm_id(5)}, false}, random);
+    cr_expect_not(answered.take_upstreams_read(start + 20ms));
+
+    joining seed_vm(self);
+    seed_vm.begin(start, true, random);
+    cr_expect_not(seed_vm.take_upstreams_read(start + 20ms));
+}
+
 // Symptom: a VM keeps its core busy for as long as the platform is down.
 // Sequence: it is to read, and waits for an answer. Cause: a deadline that has
 // passed remains the next one.
