--- a/emulator/emulated_fleet.hpp
+++ b/emulator/emulated_fleet.hpp
@@ -108,9 +108,10 @@
     [[nodiscard]] std::uint32_t life_of(std::uint32_t vm) const;
     [[nodiscard]] bool is_ready(std::uint32_t vm) const;
 
-    /// Whether it takes callers' packets; before, they wait. Precondition: it
-    /// runs.
-    [[nodiscard]] bool heeds_callers(std::uint32_t vm) const;
+    /// Whether it takes in a packet of this phase that has waited at it for so
+    /// long; else the packet goes on waiting. Precondition: the VM runs.
+    [[nodiscard]] bool
+    takes_in(std::uint32_t vm, packet_phase phase, duration waited) const;
 
     /// When a VM that was frozen goes on; earlier than now for others. No
     /// precondition.
@@ -149,6 +150,8 @@
     void carry_out(std::uint32_t vm, effect_list const& effects);
     void carry_out(std::uint32_t vm, send_control const& wanted);
     void carry_out(std::uint32_t vm, watch_platform const& wanted);
+    void read_stale_upstreams(std::uint32_t vm);
+    void tell_upstreams(std::uint32_t vm, duration after);
     void carry_out(std::uint32_t vm, fetch_document const& wanted);
     void carry_out(std::uint32_t vm, report const& told);
     void fetch_from_platform(std::uint32_t vm, fetch_document const& wanted);
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -63,9 +63,8 @@
         this->in_force.evacuations = versions.evacuations;
         this->apply_listing(now, std::move(contents.evacuations));
     }
-    // Callers' packets are queued until the registry is complete. Another VM
-    // may have placed the retransmissions of openings that were queued for
-    // long.
+    // Openings are queued until the registry is complete. Another VM may have
+    // placed the retransmissions of openings that were queued for long.
     if (this->is_informed() && !was_informed)
         this->pauses.record_pause_end(now);
 }
@@ -91,11 +90,16 @@
     time_point now, std::shared_ptr<upstream_listing const> listing)
 {
     this->in_force.upstreams_since = now;
+    bool const was_early = this->early_upstreams != nullptr;
+    if (was_early)
+        this->forget_early_upstreams();
     auto const previous =
         std::exchange(this->listed_upstreams, std::move(listing));
     auto const outcome = this->upstream_table.update(
         now, previous == nullptr ? upstream_listing() : *previous,
         *this->listed_upstreams);
+    if (was_early)
+        this->count_flows_again();
     for (upstream_tag const tag : outcome.restarted)
     {
         this->remove_flows_of(tag);
@@ -106,6 +110,35 @@
         outcome.taken_over.end());
 }
 
+void tag_router::set_early_upstreams(
+    time_point now, std::shared_ptr<upstream_listing const> listing)
+{
+    if (this->knows_upstreams() || listing == nullptr)
+        return;
+    this->early_upstreams = std::move(listing);
+    (void)this->upstream_table.update(now, {}, *this->early_upstreams);
+}
+
+void tag_router::forget_early_upstreams()
+{
+    // Neither of the two listings is known to be the later one. If the document
+    // counted as a change of the early listing, an upstream that is new in
+    // either could be taken for the successor of another at its address, and
+    // live flows would be reset.
+    this->early_upstreams.reset();
+    this->upstream_table.clear();
+}
+
+void tag_router::count_flows_again()
+{
+    this->flows.visit(
+        [this](tagged_flow const& flow)
+        {
+            if (auto* const upstream = this->upstream_table.find(flow.upstream))
+                ++upstream->flows;
+        });
+}
+
 void tag_router::apply_listing(
     time_point now, std::shared_ptr<evacuation_listing const> listing)
 {
@@ -127,12 +160,13 @@
     // upstreams, though other VMs could place it: when VMs started after all
     // had been down, callers saw this as resets. The caller's retransmission
     // reaches a VM that has the whole registry.
-    if (!this->is_informed())
+    bool const is_opening = is_opening_phase(packet.phase);
+    bool const can_decide =
+        is_opening ? this->is_informed() : this->knows_upstreams();
+    if (!can_decide)
         return this->drop(
             packet, drop_reason::not_ready, flow_rule::registry_incomplete,
             effects);
-    bool const is_opening = packet.phase == packet_phase::opening ||
-                            packet.phase == packet_phase::opening_with_data;
     if (is_opening)
         this->route_opening(now, packet, effects);
     else
@@ -365,6 +399,12 @@
            this->evacuations != nullptr;
 }
 
+bool tag_router::knows_upstreams() const
+{
+    return this->listed_upstreams != nullptr ||
+           this->early_upstreams != nullptr;
+}
+
 registry_knowledge const& tag_router::registry() const
 {
     return this->in_force;
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -77,6 +77,13 @@
         registry_contents contents,
         registry_versions versions = {});
 
+    /// Forwards packets of open flows by this listing until the upstreams'
+    /// document is there; ignored from then on. It may be seconds old, which
+    /// does no harm to open flows: each packet names the instance that it is
+    /// meant for.
+    void set_early_upstreams(
+        time_point now, std::shared_ptr<upstream_listing const> listing);
+
     /// Sets the VMs of the own failure domain, including this one; empty while
     /// they are not known.
     void set_domain_vms(vm_id self, std::span<vm_id const> vms);
@@ -137,9 +144,13 @@
     /// failure domains checked again.
     void tick(time_point now, effect_list& effects);
 
-    /// Whether all listings were received. Until then all packets are dropped.
+    /// Whether all listings were received. Until then openings are dropped.
     [[nodiscard]] bool is_informed() const;
 
+    /// Whether packets of open flows can be forwarded: their tags name
+    /// upstreams, and neither routes nor evacuations are needed.
+    [[nodiscard]] bool knows_upstreams() const;
+
     /// The versions of the listings in force, and since when they are.
     [[nodiscard]] registry_knowledge const& registry() const;
 
@@ -250,6 +261,8 @@
         time_point now, std::shared_ptr<upstream_listing const> listing);
     void apply_listing(
         time_point now, std::shared_ptr<evacuation_listing const> listing);
+    void forget_early_upstreams();
+    void count_flows_again();
     void report_reachability_changes(effect_list& effects);
     void start_due_checks(time_point now, effect_list& effects);
     void suspect_upstreams_of(failure_domain_id domain);
@@ -387,6 +400,8 @@
     tagging_settings const& settings;
     std::shared_ptr<route_listing const> routes;
     std::shared_ptr<upstream_listing const> listed_upstreams;
+    /// Null once the listing above is there.
+    std::shared_ptr<upstream_listing const> early_upstreams;
     std::shared_ptr<evacuation_listing const> evacuations;
     /// Versions of the listings above, and since when each is in force.
     registry_knowledge in_force;
