Wire: Add messages of upstream observations and ratings

Cause: the VMs of a failure domain have no message by which to tell each other how upstreams perform (docs/design/hard-load.md, part 2). Ruled out: fields of upstream_report_listing, which names upstreams by address and tells what upstreams say of themselves. Change: upstream_observation_listing and upstream_rating_listing, their codec, and its bounds: no upstream zero, shares up to 1,000, known outcomes, lists that fit a datagram.

--- a/libraries/protocol/control_message.hpp
+++ b/libraries/protocol/control_message.hpp
@@ -2,6 +2,7 @@
 
 #include <protocol/member_update.hpp>
 #include <protocol/pin_claim.hpp>
+#include <rating/request_observation.hpp>
 #include <registry/tag.hpp>
 
 #include <cstdint>
@@ -224,6 +225,47 @@
     bool operator==(flow_binding const&) const = default;
 };
 
+/// Requests of which the sender saw the end, for the VM that collects the
+/// observations of their upstreams.
+struct upstream_observation_listing
+{
+    std::vector<request_observation> observations;
+    /// Share of the sender's observations of usual answers, and of its other
+    /// observations, that fits into its budget of messages.
+    std::uint16_t usual_sampled_permille = 1000;
+    std::uint16_t notable_sampled_permille = 1000;
+
+    bool operator==(upstream_observation_listing const&) const = default;
+};
+
+/// How an upstream performs compared with its pool. Zero milliseconds of
+/// lifetime end an earlier rating.
+struct announced_rating
+{
+    upstream_tag upstream;
+    std::uint16_t relative_permille = 1000;
+    std::uint16_t short_permille = 0;
+    std::uint16_t work_permille = 0;
+    bool is_ejected = false;
+    std::uint16_t lifetime_milliseconds = 0;
+
+    bool operator==(announced_rating const&) const = default;
+};
+
+/// Ratings on their way through a failure domain. Goes from the VM that
+/// collects observations to one that disseminates ratings, and from there down
+/// the tree that this VM is the root of.
+struct upstream_rating_listing
+{
+    /// The root of the tree; zero while no VM disseminates the listing.
+    vm_id origin;
+    /// Distinguishes the listings of one origin.
+    std::uint32_t sequence = 0;
+    std::vector<announced_rating> ratings;
+
+    bool operator==(upstream_rating_listing const&) const = default;
+};
+
 /// Everything one VM can say to another besides callers' packets.
 using control_body = std::variant<
     ping,
@@ -239,7 +281,9 @@
     join_referral,
     reading_attempt,
     flow_lookup,
-    flow_binding>;
+    flow_binding,
+    upstream_observation_listing,
+    upstream_rating_listing>;
 
 struct control_message
 {
--- a/libraries/wire/control_codec.cpp
+++ b/libraries/wire/control_codec.cpp
@@ -28,6 +28,9 @@
 constexpr std::size_t maximum_entries =
     maximum_control_bytes / minimum_entry_bytes;
 
+/// Shares are told in thousandths.
+constexpr std::uint16_t whole_permille = 1000;
+
 /// Nesting below the root that the schema needs, with one to spare.
 constexpr int maximum_nesting = 6;
 
@@ -66,6 +69,27 @@
         static_cast<peer_schema::UpstreamCondition>(from.condition));
 }
 
+void write(
+    request_observation const& from,
+    peer_schema::RequestObservation::Builder to)
+{
+    to.setUpstream(from.upstream.value());
+    to.setAnswerMilliseconds(from.answer_milliseconds);
+    to.setRelativePermille(from.relative_permille);
+    to.setOutcome(static_cast<peer_schema::RequestOutcome>(from.outcome));
+}
+
+void write(
+    announced_rating const& from, peer_schema::AnnouncedRating::Builder to)
+{
+    to.setUpstream(from.upstream.value());
+    to.setRelativePermille(from.relative_permille);
+    to.setShortPermille(from.short_permille);
+    to.setWorkPermille(from.work_permille);
+    to.setLifetimeMilliseconds(from.lifetime_milliseconds);
+    to.setIsEjected(from.is_ejected);
+}
+
 template <typename Entries, typename ListBuilder>
 void write_list(Entries const& entries, ListBuilder list)
 {
@@ -173,6 +197,24 @@
         part.setAcknowledged(body.acknowledged);
     }
 
+    void operator()(upstream_observation_listing const& body)
+    {
+        auto part = this->to.initUpstreamObservations();
+        part.setUsualSampledPermille(body.usual_sampled_permille);
+        part.setNotableSampledPermille(body.notable_sampled_permille);
+        write_list(
+            body.observations,
+            part.initObservations(size_of(body.observations)));
+    }
+
+    void operator()(upstream_rating_listing const& body)
+    {
+        auto part = this->to.initUpstreamRatings();
+        part.setOrigin(body.origin.value());
+        part.setSequence(body.sequence);
+        write_list(body.ratings, part.initRatings(size_of(body.ratings)));
+    }
+
     void operator()(join_request const& body)
     {
         auto part = this->to.initJoinRequest();
@@ -258,6 +300,49 @@
         .age_milliseconds = from.getAgeMilliseconds()};
 }
 
+/// Zero names no upstream.
+upstream_tag read_named_upstream(std::uint32_t tag)
+{
+    if (tag == 0)
+        throw malformed_datagram(malformed_reason::out_of_range);
+    return upstream_tag(tag);
+}
+
+std::uint16_t read_share(std::uint16_t permille)
+{
+    if (permille > whole_permille)
+        throw malformed_datagram(malformed_reason::out_of_range);
+    return permille;
+}
+
+/// Whoever sends observations sends a share of them that is not zero.
+std::uint16_t read_sampled_share(std::uint16_t permille)
+{
+    if (permille == 0)
+        throw malformed_datagram(malformed_reason::out_of_range);
+    return read_share(permille);
+}
+
+request_observation read(peer_schema::RequestObservation::Reader from)
+{
+    return {
+        .upstream = read_named_upstream(from.getUpstream()),
+        .outcome = checked_enum(from.getOutcome(), request_outcome::unanswered),
+        .relative_permille = from.getRelativePermille(),
+        .answer_milliseconds = from.getAnswerMilliseconds()};
+}
+
+announced_rating read(peer_schema::AnnouncedRating::Reader from)
+{
+    return {
+        .upstream = read_named_upstream(from.getUpstream()),
+        .relative_permille = from.getRelativePermille(),
+        .short_permille = read_share(from.getShortPermille()),
+        .work_permille = from.getWorkPermille(),
+        .is_ejected = from.getIsEjected(),
+        .lifetime_milliseconds = from.getLifetimeMilliseconds()};
+}
+
 listing_kind read(peer_schema::ListingKind from)
 {
     return checked_enum(from, listing_kind::answer);
@@ -347,6 +432,25 @@
         .acknowledged = from.getAcknowledged()};
 }
 
+upstream_observation_listing
+read(peer_schema::UpstreamObservationListing::Reader from)
+{
+    return {
+        .observations = read_list<request_observation>(from.getObservations()),
+        .usual_sampled_permille =
+            read_sampled_share(from.getUsualSampledPermille()),
+        .notable_sampled_permille =
+            read_sampled_share(from.getNotableSampledPermille())};
+}
+
+upstream_rating_listing read(peer_schema::UpstreamRatingListing::Reader from)
+{
+    return {
+        .origin = vm_id(from.getOrigin()),
+        .sequence = from.getSequence(),
+        .ratings = read_list<announced_rating>(from.getRatings())};
+}
+
 join_referral read(peer_schema::JoinReferral::Reader from)
 {
     if (from.getHolders().size() > maximum_entries)
@@ -402,6 +506,10 @@
         return read(from.getFlowLookup());
     case kind::FLOW_BINDING:
         return read(from.getFlowBinding());
+    case kind::UPSTREAM_OBSERVATIONS:
+        return read(from.getUpstreamObservations());
+    case kind::UPSTREAM_RATINGS:
+        return read(from.getUpstreamRatings());
     }
     throw malformed_datagram(malformed_reason::unknown_kind);
 }
--- a/libraries/wire/peer.capnp
+++ b/libraries/wire/peer.capnp
@@ -143,6 +143,40 @@
   acknowledged @2 :UInt32;
 }
 
+enum RequestOutcome {
+  answered @0;
+  shortAnswer @1;
+  unanswered @2;
+}
+
+struct RequestObservation {
+  upstream @0 :UInt32;
+  answerMilliseconds @1 :UInt32;
+  relativePermille @2 :UInt16;
+  outcome @3 :RequestOutcome;
+}
+
+struct UpstreamObservationListing {
+  observations @0 :List(RequestObservation);
+  usualSampledPermille @1 :UInt16 = 1000;
+  notableSampledPermille @2 :UInt16 = 1000;
+}
+
+struct AnnouncedRating {
+  upstream @0 :UInt32;
+  relativePermille @1 :UInt16;
+  shortPermille @2 :UInt16;
+  workPermille @3 :UInt16;
+  lifetimeMilliseconds @4 :UInt16;
+  isEjected @5 :Bool;
+}
+
+struct UpstreamRatingListing {
+  origin @0 :UInt32;
+  sequence @1 :UInt32;
+  ratings @2 :List(AnnouncedRating);
+}
+
 struct ControlMessage {
   sender @0 :UInt32;
   union {
@@ -162,6 +196,8 @@
     readingAttempt @12 :ReadingAttempt;
     flowLookup @13 :FlowLookup;
     flowBinding @14 :FlowBinding;
+    upstreamObservations @15 :UpstreamObservationListing;
+    upstreamRatings @16 :UpstreamRatingListing;
   }
 }
 
--- a/tests/wire/samples.hpp
+++ b/tests/wire/samples.hpp
@@ -46,6 +46,26 @@
         .age_milliseconds = 1500};
 }
 
+inline request_observation make_observation(std::uint32_t number)
+{
+    return {
+        .upstream = upstream_tag(0x7f3a0101U + number),
+        .outcome = static_cast<request_outcome>(number % 3),
+        .relative_permille = static_cast<std::uint16_t>(900 + 100 * number),
+        .answer_milliseconds = 47 + number};
+}
+
+inline announced_rating make_rating(std::uint32_t number)
+{
+    return {
+        .upstream = upstream_tag(0x7f3a0101U + number),
+        .relative_permille = static_cast<std::uint16_t>(5000 + number),
+        .short_permille = 333,
+        .work_permille = 1730,
+        .is_ejected = number % 2 == 0,
+        .lifetime_milliseconds = 3000};
+}
+
 inline std::vector<control_body> all_bodies()
 {
     auto const updates = make_list(8, make_update);
@@ -78,7 +98,12 @@
         join_referral{{}, true},
         reading_attempt{},
         flow_lookup{flow_id(~0ULL), upstream_tag(0xff3a0101), 0x80000001},
-        flow_binding{flow_id(1), upstream_tag(0x7f3a0101), 0}};
+        flow_binding{flow_id(1), upstream_tag(0x7f3a0101), 0},
+        upstream_observation_listing{make_list(9, make_observation), 125, 999},
+        upstream_observation_listing{},
+        upstream_rating_listing{
+            vm_id(0x7f000103), 0xffffffff, make_list(9, make_rating)},
+        upstream_rating_listing{}};
 }
 
 inline std::vector<std::uint8_t> encoded(control_body body)
--- a/tests/wire/test_control_codec.cpp
+++ b/tests/wire/test_control_codec.cpp
@@ -48,6 +48,15 @@
     auto const unknown_kind = static_cast<listing_kind>(2);
     auto unknown_condition = make_report(0);
     unknown_condition.condition = static_cast<upstream_condition>(4);
+    auto unknown_outcome = make_observation(0);
+    unknown_outcome.outcome = static_cast<request_outcome>(3);
+    auto without_upstream = make_observation(0);
+    without_upstream.upstream = upstream_tag();
+    auto more_than_all = make_rating(0);
+    more_than_all.short_permille = 1001;
+    auto of_nobody = make_rating(0);
+    of_nobody.upstream = upstream_tag();
+    auto const too_many_ratings = std::vector<announced_rating>(201);
     auto const too_many = std::vector<member_update>(201);
 
     // A table that claims a megabyte in one segment, and runs of 256 zero
@@ -90,6 +99,27 @@
         {"unknown upstream condition",
          encoded(upstream_report_listing{{unknown_condition}}),
          malformed_reason::out_of_range},
+        {"unknown outcome of a request",
+         encoded(upstream_observation_listing{{unknown_outcome}}),
+         malformed_reason::out_of_range},
+        {"an observation of no upstream",
+         encoded(upstream_observation_listing{{without_upstream}}),
+         malformed_reason::out_of_range},
+        {"observations sampled never",
+         encoded(upstream_observation_listing{{make_observation(0)}, 0, 1000}),
+         malformed_reason::out_of_range},
+        {"observations sampled more than always",
+         encoded(upstream_observation_listing{{}, 1000, 1001}),
+         malformed_reason::out_of_range},
+        {"more short answers than answers",
+         encoded(upstream_rating_listing{vm_id(1), 1, {more_than_all}}),
+         malformed_reason::out_of_range},
+        {"a rating of no upstream",
+         encoded(upstream_rating_listing{vm_id(1), 1, {of_nobody}}),
+         malformed_reason::out_of_range},
+        {"more ratings than a datagram holds",
+         encoded(upstream_rating_listing{vm_id(1), 1, too_many_ratings}),
+         malformed_reason::too_large},
         {"a list longer than a datagram holds",
          encoded(member_listing{listing_kind::request, too_many}),
          malformed_reason::too_large},
