Rating: Exchange observations and ratings in a failure domain

Cause: one VM of 40 sees one in 40 of an upstream's requests, too few to tell that it is slow or answers errors (docs/design/hard-load.md, part 2). Ruled out: a tree for each collector: each VM of a domain of 314 would receive a datagram per collector and second while many upstreams are slow. Gauge, counters, log events and columns of cairnhead upstreams.

--- a/libraries/control/answer_codec.cpp
+++ b/libraries/control/answer_codec.cpp
@@ -71,6 +71,26 @@
     to.setSilentFor(number_of(from.silent_for));
     to.setAvoidedFor(number_of(from.avoided_for));
     to.setMissingFor(number_of(from.missing_for));
+    if (!from.rating)
+        return;
+    to.setRatedFor(from.rating->in_force_for.count());
+    to.setRelativePermille(from.rating->relative_permille);
+    to.setShortPermille(from.rating->short_permille);
+    to.setWorkPermille(from.rating->work_permille);
+    to.setIsOutlier(from.rating->is_ejected);
+}
+
+std::optional<rating_answer> read_rating(control_schema::Belief::Reader from)
+{
+    auto const left = read_length(from.getRatedFor());
+    if (!left)
+        return std::nullopt;
+    return rating_answer{
+        .relative_permille = from.getRelativePermille(),
+        .short_permille = from.getShortPermille(),
+        .work_permille = from.getWorkPermille(),
+        .is_ejected = from.getIsOutlier(),
+        .in_force_for = *left};
 }
 
 belief_answer read(control_schema::Belief::Reader from)
@@ -82,7 +102,8 @@
         .answered_ago = read_length(from.getAnsweredAgo()),
         .silent_for = read_length(from.getSilentFor()),
         .avoided_for = read_length(from.getAvoidedFor()),
-        .missing_for = read_length(from.getMissingFor())};
+        .missing_for = read_length(from.getMissingFor()),
+        .rating = read_rating(from)};
 }
 
 void write(packet_totals const& from, control_schema::PacketTotals::Builder to)
--- a/libraries/control/control.capnp
+++ b/libraries/control/control.capnp
@@ -140,6 +140,12 @@
   silentFor @4 :Int64 = -1;
   avoidedFor @5 :Int64 = -1;
   missingFor @6 :Int64 = -1;
+  # Without a rating below zero.
+  ratedFor @7 :Int64 = -1;
+  relativePermille @8 :UInt16;
+  shortPermille @9 :UInt16;
+  workPermille @10 :UInt16;
+  isOutlier @11 :Bool;
 }
 
 struct Explanation {
--- a/libraries/control/control_answers.hpp
+++ b/libraries/control/control_answers.hpp
@@ -106,6 +106,19 @@
     cold,
 };
 
+/// How an upstream performs compared with its pool, in thousandths.
+struct rating_answer
+{
+    std::uint16_t relative_permille = 0;
+    std::uint16_t short_permille = 0;
+    std::uint16_t work_permille = 0;
+    bool is_ejected = false;
+    /// It is in force for this much longer.
+    std::chrono::milliseconds in_force_for{};
+
+    bool operator==(rating_answer const&) const = default;
+};
+
 /// What a VM believes of an upstream, with the evidence.
 struct belief_answer
 {
@@ -119,6 +132,8 @@
     /// It is spared for this much longer.
     std::optional<std::chrono::milliseconds> avoided_for;
     std::optional<std::chrono::milliseconds> missing_for;
+    /// Absent where the upstream performs as usual.
+    std::optional<rating_answer> rating{};
 
     bool operator==(belief_answer const&) const = default;
 };
--- a/libraries/event/effect.hpp
+++ b/libraries/event/effect.hpp
@@ -239,6 +239,10 @@
     /// No VM of a failure domain says anything, or one does again.
     domain_silent,
     domain_heard,
+    /// Upstreams that this VM collects observations of: one answers errors or
+    /// refuses, unlike others of its pool, or does so no more.
+    upstream_outlier_ejected,
+    upstream_outlier_restored,
 };
 
 /// A belief's input: what it is, and what it was.
--- a/libraries/observability/effect_text.hpp
+++ b/libraries/observability/effect_text.hpp
@@ -164,6 +164,10 @@
         return "domain_silent";
     case report_kind::domain_heard:
         return "domain_heard";
+    case report_kind::upstream_outlier_ejected:
+        return "upstream_outlier_ejected";
+    case report_kind::upstream_outlier_restored:
+        return "upstream_outlier_restored";
     }
     return {};
 }
--- a/libraries/observability/flow_metrics.cpp
+++ b/libraries/observability/flow_metrics.cpp
@@ -28,6 +28,13 @@
     return std::chrono::duration<double>(length).count();
 }
 
+void raise_to(prometheus::Counter& counter, std::uint64_t total)
+{
+    auto const more = static_cast<double>(total) - counter.Value();
+    if (more > 0)
+        counter.Increment(more);
+}
+
 std::string_view to_label(connection_outcome outcome)
 {
     switch (outcome)
@@ -94,7 +101,22 @@
       lines(BuildGauge()
                 .Name("cairnhead_log_lines_left_out")
                 .Help("Log lines that were not written since the start.")
-                .Register(all))
+                .Register(all)),
+      ratings(BuildGauge()
+                  .Name("cairnhead_upstream_ratings")
+                  .Help("Upstreams with a rating in force: they perform "
+                        "differently from their pool.")
+                  .Register(all)),
+      ejections(BuildCounter()
+                    .Name("cairnhead_upstream_ejections_total")
+                    .Help("Ejections of upstreams whose answers were short, by "
+                          "the VM that collects their observations.")
+                    .Register(all)),
+      rating_messages(BuildCounter()
+                          .Name("cairnhead_rating_messages_total")
+                          .Help("Messages of observations and of ratings "
+                                "between VMs.")
+                          .Register(all))
 {
 }
 
@@ -150,12 +172,26 @@
             .Set(static_cast<double>(held.version.value()));
         this->ages.Add({{"document", held.name}}).Set(to_seconds(held.age));
     }
+    this->ratings.Add({}).Set(static_cast<double>(values.ratings_in_force));
+    raise_to(this->ejections.Add({}), values.outlier_ejections);
+    this->set_rating_messages(
+        "observations_sent", values.observation_messages_sent);
+    this->set_rating_messages(
+        "observations_received", values.observation_messages_received);
+    this->set_rating_messages("ratings_sent", values.rating_messages_sent);
+    this->set_rating_messages(
+        "ratings_received", values.rating_messages_received);
     this->lines.Add({{"reason", "limit"}})
         .Set(static_cast<double>(values.log_lines_left_out));
     this->lines.Add({{"reason", "sampling"}})
         .Set(static_cast<double>(values.flow_lines_sampled_out));
 }
 
+void flow_metrics::set_rating_messages(char const* kind, std::uint64_t count)
+{
+    raise_to(this->rating_messages.Add({{"kind", kind}}), count);
+}
+
 void flow_metrics::set_upstreams(char const* state, std::uint64_t count)
 {
     this->upstreams.Add({{"state", state}}).Set(static_cast<double>(count));
--- a/libraries/observability/flow_metrics.hpp
+++ b/libraries/observability/flow_metrics.hpp
@@ -49,6 +49,13 @@
     std::vector<document> documents;
     std::uint64_t log_lines_left_out = 0;
     std::uint64_t flow_lines_sampled_out = 0;
+    std::uint64_t ratings_in_force = 0;
+    /// Since the start.
+    std::uint64_t outlier_ejections = 0;
+    std::uint64_t observation_messages_sent = 0;
+    std::uint64_t observation_messages_received = 0;
+    std::uint64_t rating_messages_sent = 0;
+    std::uint64_t rating_messages_received = 0;
 };
 
 /// Metrics of flows whose packets carry tags, and of what they are placed by.
@@ -88,6 +95,7 @@
 
     service_series& series_of(std::string const& service);
     [[nodiscard]] service_series make_series(std::string const& label);
+    void set_rating_messages(char const* kind, std::uint64_t count);
     void set_upstreams(char const* state, std::uint64_t count);
 
     prometheus::Family<prometheus::Counter>& steps;
@@ -101,6 +109,9 @@
     prometheus::Family<prometheus::Gauge>& versions;
     prometheus::Family<prometheus::Gauge>& ages;
     prometheus::Family<prometheus::Gauge>& lines;
+    prometheus::Family<prometheus::Gauge>& ratings;
+    prometheus::Family<prometheus::Counter>& ejections;
+    prometheus::Family<prometheus::Counter>& rating_messages;
     absl::flat_hash_map<std::string, service_series> services;
 };
 
--- a/libraries/observability/log_report.cpp
+++ b/libraries/observability/log_report.cpp
@@ -28,6 +28,8 @@
     case report_kind::upstream_unreachable:
     case report_kind::upstream_reachable:
     case report_kind::upstream_avoided:
+    case report_kind::upstream_outlier_ejected:
+    case report_kind::upstream_outlier_restored:
         return "upstream";
     case report_kind::domain_unreachable:
     case report_kind::domain_reachable:
@@ -58,6 +60,7 @@
     case report_kind::domain_silent:
     case report_kind::upstream_unreachable:
     case report_kind::pin_conflict:
+    case report_kind::upstream_outlier_ejected:
         return log_level::warning;
     default:
         return log_level::info;
--- a/libraries/rating/rating_table.cpp
+++ b/libraries/rating/rating_table.cpp
@@ -1,5 +1,7 @@
 #include <rating/rating_table.hpp>
 
+#include <algorithm>
+
 namespace cairnhead
 {
 
@@ -34,6 +36,16 @@
         });
 }
 
+std::size_t rating_table::count_in_force(time_point now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->ratings,
+        [now](auto const& entry)
+        {
+            return now < entry.second.expires_at;
+        }));
+}
+
 std::size_t rating_table::size() const
 {
     return this->ratings.size();
--- a/libraries/rating/rating_table.hpp
+++ b/libraries/rating/rating_table.hpp
@@ -28,6 +28,9 @@
     /// Removes the ratings that have expired.
     void expire(time_point now);
 
+    /// How many ratings are in force.
+    [[nodiscard]] std::size_t count_in_force(time_point now) const;
+
     /// How many ratings there are, expired ones included.
     [[nodiscard]] std::size_t size() const;
 
--- a/libraries/reducer/reducer.cpp
+++ b/libraries/reducer/reducer.cpp
@@ -53,6 +53,10 @@
           this->settings.tagging,
           this->settings.self.domain,
           seed_for(this->settings, "tagging")),
+      ratings(
+          this->settings.self,
+          this->settings.versions.relay_fanout,
+          seed_for(this->settings, "rating")),
       declarations(this->versions.current())
 {
 }
@@ -60,6 +64,7 @@
 void reducer::apply(event const& event, effect_list& effects)
 {
     this->notice_pause(event.now, effects);
+    this->ratings.record_event(event.now);
     std::visit(
         [&](auto const& body)
         {
@@ -75,6 +80,7 @@
     time_point now, packet_arrived const& packet, effect_list& effects)
 {
     this->notice_pause(now, effects);
+    this->ratings.record_event(now);
     this->handle(now, packet, effects);
 }
 
@@ -123,7 +129,7 @@
     return seen;
 }
 
-reducer_gauges reducer::gauges(time_point) const
+reducer_gauges reducer::gauges(time_point now) const
 {
     reducer_gauges counted;
     counted.state = this->state();
@@ -139,6 +145,8 @@
     counted.upstreams = this->tagged.upstreams();
     counted.registry = this->tagged.registry();
     counted.evacuated_domains = this->tagged.evacuated_domains();
+    counted.ratings_in_force = this->tagged.count_ratings(now);
+    counted.ratings = this->ratings.counts();
     return counted;
 }
 
@@ -183,11 +191,15 @@
 
 std::optional<time_point> reducer::next_due() const
 {
-    auto const packets_at = this->tagged.next_due();
-    auto const documents_at = this->versions.next_due();
-    if (!packets_at || !documents_at)
-        return packets_at ? packets_at : documents_at;
-    return std::min(*packets_at, *documents_at);
+    std::optional<time_point> first;
+    for (auto const& due :
+         {this->tagged.next_due(), this->versions.next_due(),
+          this->ratings.next_due()})
+    {
+        if (due && (!first || *due < *first))
+            first = due;
+    }
+    return first;
 }
 
 bool reducer::knows_destinations() const
@@ -273,6 +285,7 @@
 {
     this->versions.tick(now, out);
     this->tagged.tick(now, out);
+    this->exchange_ratings(now, out);
     this->ask_domains(out);
     if (!this->has_joined)
     {
@@ -310,6 +323,7 @@
 {
     this->versions.advance(now, out);
     this->tagged.advance(now, out);
+    this->exchange_ratings(now, out);
     this->ask_domains(out);
 }
 
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -9,6 +9,7 @@
 #include <ownership/ownership_table.hpp>
 #include <pins/pin_table.hpp>
 #include <placement/placement.hpp>
+#include <rating/rating_exchange.hpp>
 #include <reducer/flow_router.hpp>
 #include <reducer/handover.hpp>
 #include <reducer/leave_turn.hpp>
@@ -153,8 +154,25 @@
         vm_id sender,
         flow_binding const& message,
         effect_list& out);
+    void receive(
+        time_point now,
+        vm_id sender,
+        upstream_observation_listing const& message,
+        effect_list& out);
+    void receive(
+        time_point now,
+        vm_id sender,
+        upstream_rating_listing const& message,
+        effect_list& out);
 
     [[nodiscard]] bool is_tagged() const;
+    [[nodiscard]] bool uses_ratings() const;
+    [[nodiscard]] bool takes_ratings_of(vm_id sender) const;
+    [[nodiscard]] std::optional<rated_upstream>
+    find_rated(upstream_tag tag) const;
+    void exchange_ratings(time_point now, effect_list& out);
+    void report_outlier(
+        time_point now, ejection_change const& change, effect_list& out) const;
     [[nodiscard]] flow_explanation explain_tagged(
         time_point now, flow_id flow, endpoint const& destination) const;
     [[nodiscard]] routing_context context();
@@ -190,6 +208,7 @@
     stop_timeline stop;
     handover handing_over;
     tag_router tagged;
+    rating_exchange ratings;
     std::shared_ptr<directory const> declarations;
 
     std::uint64_t applied_membership = ~std::uint64_t(0);
--- a/libraries/reducer/reducer_refresh.cpp
+++ b/libraries/reducer/reducer_refresh.cpp
@@ -120,6 +120,7 @@
     {
         this->tagged.set_domain_vms(this->settings.self.id, this->domain_vms);
         this->tagged.set_peers(this->choose_flow_peers());
+        this->ratings.set_vms(this->domain_vms);
         return;
     }
     std::vector<ownership_candidate> const candidates = this->owners();
--- a/libraries/reducer/reducer_view.hpp
+++ b/libraries/reducer/reducer_view.hpp
@@ -4,6 +4,7 @@
 #include <membership/membership.hpp>
 #include <ownership/ownership_table.hpp>
 #include <placement/placement.hpp>
+#include <rating/rating_exchange.hpp>
 #include <tagging/tagged_upstreams.hpp>
 
 #include <memory>
@@ -70,6 +71,8 @@
     std::span<tagged_upstream const> upstreams;
     registry_knowledge registry;
     std::span<std::string const> evacuated_domains;
+    std::size_t ratings_in_force = 0;
+    rating_counts ratings;
 };
 
 /// Which rule decides about a flow's next packet.
--- a/libraries/runtime/answer_builder.cpp
+++ b/libraries/runtime/answer_builder.cpp
@@ -151,6 +151,20 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(*end - *begin);
 }
 
+std::optional<rating_answer>
+make_rating(time_point now, std::optional<upstream_rating> const& held)
+{
+    if (!held)
+        return std::nullopt;
+    return rating_answer{
+        .relative_permille = held->relative_permille,
+        .short_permille = held->short_permille,
+        .work_permille = held->work_permille,
+        .is_ejected = held->is_ejected,
+        .in_force_for = std::chrono::duration_cast<std::chrono::milliseconds>(
+            held->expires_at - now)};
+}
+
 belief_answer make_belief(time_point now, upstream_view const& held)
 {
     return {
@@ -160,7 +174,8 @@
         .answered_ago = length_between(held.answered_at, now),
         .silent_for = length_between(held.silent_since, now),
         .avoided_for = length_between(now, held.avoided_until),
-        .missing_for = length_between(held.missing_since, now)};
+        .missing_for = length_between(held.missing_since, now),
+        .rating = make_rating(now, held.rating)};
 }
 
 upstream_answer make_upstream(time_point now, shown_upstream const& shown)
--- a/libraries/runtime/view_metrics.cpp
+++ b/libraries/runtime/view_metrics.cpp
@@ -87,6 +87,13 @@
     for (tagged_upstream const& each : counted.upstreams)
         count_upstream(now, each, counted, values);
     values.evacuated_domains = counted.evacuated_domains.size();
+    values.ratings_in_force = counted.ratings_in_force;
+    values.outlier_ejections = counted.ratings.ejections;
+    values.observation_messages_sent = counted.ratings.observations_sent;
+    values.observation_messages_received =
+        counted.ratings.observations_received;
+    values.rating_messages_sent = counted.ratings.ratings_sent;
+    values.rating_messages_received = counted.ratings.ratings_received;
     registry_knowledge const& known = counted.registry;
     if (known.routes != document_version())
         values.documents.push_back(
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -353,6 +353,24 @@
     this->ratings.apply(now, rating);
 }
 
+std::size_t tag_router::count_ratings(time_point now) const
+{
+    return this->ratings.count_in_force(now);
+}
+
+tagged_upstream const* tag_router::find_upstream(upstream_tag tag) const
+{
+    return this->upstream_table.find(tag);
+}
+
+void tag_router::add_ratings(
+    time_point now, std::span<upstream_candidate> shown) const
+{
+    for (upstream_candidate& each : shown)
+        each.view.rating =
+            this->ratings.find(now, tag_of(each.registered.instance));
+}
+
 bool tag_router::is_informed() const
 {
     return this->routes != nullptr && this->listed_upstreams != nullptr &&
@@ -384,7 +402,9 @@
 std::vector<upstream_candidate>
 tag_router::registered_upstreams(time_point now) const
 {
-    return this->upstream_table.registered_candidates(now);
+    auto registered = this->upstream_table.registered_candidates(now);
+    this->add_ratings(now, registered);
+    return registered;
 }
 
 tagged_explanation tag_router::explain(
@@ -398,6 +418,7 @@
     explanation.pool = this->pool_of(*explanation.route, flow);
     explanation.candidates =
         this->upstream_table.candidates(now, explanation.pool);
+    this->add_ratings(now, explanation.candidates);
     tagged_flow const* const entry = this->flows.find(flow);
     if (entry != nullptr)
         explanation.current = this->upstream_table.find(entry->upstream);
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -124,6 +124,12 @@
     /// Puts a rating in force.
     void apply_rating(time_point now, upstream_rating const& rating);
 
+    /// Number of ratings in force.
+    [[nodiscard]] std::size_t count_ratings(time_point now) const;
+
+    /// The upstream with this tag, or nullptr; valid until the next event.
+    [[nodiscard]] tagged_upstream const* find_upstream(upstream_tag tag) const;
+
     /// Removes expired flows and upstreams, and has unreachable upstreams and
     /// failure domains checked again.
     void tick(time_point now, effect_list& effects);
@@ -327,6 +333,7 @@
         tagged_flow const& flow,
         tagged_upstream const& upstream);
     void record_answer(time_point at, tagged_upstream& upstream);
+    void add_ratings(time_point now, std::span<upstream_candidate> shown) const;
     [[nodiscard]] bool should_refuse_for_delay(
         time_point now,
         packet_arrived const& packet,
--- a/libraries/tagging/upstream_view.hpp
+++ b/libraries/tagging/upstream_view.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/time.hpp>
+#include <rating/upstream_rating.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -46,6 +47,8 @@
     std::optional<time_point> missing_since;
     /// End of slow start. Until then it gets part of its usual share of flows.
     std::optional<time_point> cold_until;
+    /// The rating in force; an upstream without one performs as usual.
+    std::optional<upstream_rating> rating{};
 };
 
 } // namespace cairnhead
--- a/services/cairnhead/explanation_text.cpp
+++ b/services/cairnhead/explanation_text.cpp
@@ -57,15 +57,6 @@
         absl::string_view(after.data(), after.size()));
 }
 
-/// Flows for each slot, with two digits.
-std::string format_load(std::uint32_t permille)
-{
-    constexpr std::uint32_t hundredth = 10;
-    auto const hundredths = permille % whole_permille / hundredth;
-    return absl::StrCat(
-        permille / whole_permille, ".", absl::Dec(hundredths, absl::kZeroPad2));
-}
-
 text_table table_of_decision(explain_answer const& answer)
 {
     text_table table({"PROPERTY", "VALUE"});
@@ -99,12 +90,24 @@
         table.add_row(
             {each.name, to_text(each.id), each.failure_domain,
              std::to_string(each.flows), std::to_string(each.slots),
-             format_load(belief.load_permille),
+             format_permille(belief.load_permille),
              std::string(to_text(belief.verdict)), describe(belief)});
     }
     return table;
 }
 
+nlohmann::json to_json(std::optional<rating_answer> const& rating)
+{
+    if (!rating)
+        return {};
+    return {
+        {"relative_permille", rating->relative_permille},
+        {"short_permille", rating->short_permille},
+        {"work_permille", rating->work_permille},
+        {"ejected", rating->is_ejected},
+        {"in_force_for_ms", rating->in_force_for.count()}};
+}
+
 nlohmann::json to_json(belief_answer const& belief)
 {
     return {
@@ -114,11 +117,20 @@
         {"answered_ms_ago", number_or_null(belief.answered_ago)},
         {"silent_ms", number_or_null(belief.silent_for)},
         {"avoided_for_ms", number_or_null(belief.avoided_for)},
-        {"missing_ms", number_or_null(belief.missing_for)}};
+        {"missing_ms", number_or_null(belief.missing_for)},
+        {"rating", to_json(belief.rating)}};
 }
 
 } // namespace
 
+std::string format_permille(std::uint32_t permille)
+{
+    constexpr std::uint32_t hundredth = 10;
+    auto const hundredths = permille % whole_permille / hundredth;
+    return absl::StrCat(
+        permille / whole_permille, ".", absl::Dec(hundredths, absl::kZeroPad2));
+}
+
 void write_explanation(std::ostream& out, explain_answer const& answer)
 {
     table_of_decision(answer).write(out);
--- a/services/cairnhead/explanation_text.hpp
+++ b/services/cairnhead/explanation_text.hpp
@@ -24,6 +24,9 @@
 /// precondition.
 [[nodiscard]] std::string describe(belief_answer const& belief);
 
+/// A number in thousandths, with two digits. No precondition.
+[[nodiscard]] std::string format_permille(std::uint32_t permille);
+
 /// A document's version, and its age where that is known. No precondition.
 [[nodiscard]] std::string describe(document_answer const& document);
 
--- a/services/cairnhead/upstreams_command.cpp
+++ b/services/cairnhead/upstreams_command.cpp
@@ -24,17 +24,23 @@
 {
     text_table table(
         {"UPSTREAM", "ADDRESS", "FAILURE DOMAIN", "FLOWS HERE", "CONDITION",
-         "REPORTED LOAD", "EJECTED", "COLD", "VERDICT", "EVIDENCE"});
+         "REPORTED LOAD", "EJECTED", "COLD", "VERDICT", "EVIDENCE",
+         "ANSWER TIME", "SHORT ANSWERS", "WORK", "OUTLIER"});
     for (upstream_answer const& each : upstreams)
     {
         auto const& belief = each.belief;
+        auto const rating = belief ? belief->rating : std::nullopt;
         table.add_row(
             {each.name, to_text(each.id), each.failure_domain,
              std::to_string(each.flows), std::string(to_text(each.condition)),
              std::to_string(each.reported_load_permille),
              yes_or_no(each.is_ejected), yes_or_no(each.is_cold),
              belief ? std::string(to_text(belief->verdict)) : "",
-             belief ? describe(*belief) : ""});
+             belief ? describe(*belief) : "",
+             rating ? format_permille(rating->relative_permille) : "",
+             rating ? format_permille(rating->short_permille) : "",
+             rating ? format_permille(rating->work_permille) : "",
+             rating ? yes_or_no(rating->is_ejected) : ""});
     }
     return table;
 }
--- a/tests/control/samples.hpp
+++ b/tests/control/samples.hpp
@@ -76,7 +76,13 @@
                    .answered_ago = std::chrono::milliseconds(0),
                    .silent_for = std::chrono::milliseconds(812),
                    .avoided_for = std::nullopt,
-                   .missing_for = std::chrono::milliseconds(90)}});
+                   .missing_for = std::chrono::milliseconds(90),
+                   .rating = rating_answer{
+                       .relative_permille = 5000,
+                       .short_permille = 333,
+                       .work_permille = 1730,
+                       .is_ejected = true,
+                       .in_force_for = std::chrono::milliseconds(2900)}}});
 }
 
 inline explain_question make_question()
--- a/tests/observability/test_flow_metrics.cpp
+++ b/tests/observability/test_flow_metrics.cpp
@@ -53,6 +53,11 @@
     beliefs.upstreams_unreachable = 2;
     beliefs.documents = {{"registry/routes", document_version(12), 90s}};
     beliefs.log_lines_left_out = 5;
+    beliefs.ratings_in_force = 3;
+    beliefs.outlier_ejections = 1;
+    it.flows.set(beliefs);
+    beliefs.outlier_ejections = 2;
+    beliefs.rating_messages_sent = 7;
     it.flows.set(beliefs);
     std::string const lines[] = {
         R"(cairnhead_flow_steps_total{service="listings",step="flow_placed"} 2)",
@@ -67,6 +72,10 @@
         R"(cairnhead_document_version{document="registry/routes"} 12)",
         R"(cairnhead_document_age_seconds{document="registry/routes"} 90)",
         R"(cairnhead_log_lines_left_out{reason="limit"} 5)",
+        R"(cairnhead_upstream_ratings 3)",
+        R"(cairnhead_upstream_ejections_total 2)",
+        R"(cairnhead_rating_messages_total{kind="ratings_sent"} 7)",
+        R"(cairnhead_rating_messages_total{kind="observations_sent"} 0)",
     };
     for (auto const& line : lines)
         cr_expect(it.has_line(line), "%s", line.c_str());
