Rating: Partition observations in a way that clang-tidy reads

Cause: clang-tidy 14 cannot read std::ranges::subrange of this library. Ruled out: an exclusion in .clang-tidy. Change: std::stable_partition over iterators; the fixture builds lists of ids in one place.

--- a/libraries/rating/observation_sender.cpp
+++ b/libraries/rating/observation_sender.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace cairnhead
@@ -143,8 +144,8 @@
     }
     std::ranges::shuffle(order, this->random);
     std::size_t first_ones = (count + 1) / 2;
-    std::ranges::stable_partition(
-        order,
+    std::stable_partition(
+        order.begin(), order.end(),
         [&](vm_id collector)
         {
             bool const is_first = has_notable.at(collector) && first_ones > 0;
@@ -161,10 +162,16 @@
     {
         return each.collector != collector;
     };
-    auto const own = std::ranges::stable_partition(this->queue, is_other);
-    std::ranges::stable_partition(own, &waiting_observation::is_notable);
+    auto const first =
+        std::stable_partition(this->queue.begin(), this->queue.end(), is_other);
+    std::stable_partition(
+        first, this->queue.end(),
+        [](waiting_observation const& each)
+        {
+            return each.is_notable;
+        });
     std::vector<request_observation> taken;
-    for (waiting_observation const& each : own)
+    for (waiting_observation const& each : std::span(first, this->queue.end()))
     {
         bool const has_room = taken.size() < maximum_observations_per_datagram;
         auto& share = this->share_of(each.is_notable);
@@ -172,7 +179,7 @@
         if (has_room)
             taken.push_back(each.observed);
     }
-    this->queue.erase(own.begin(), own.end());
+    this->queue.erase(first, this->queue.end());
     return taken;
 }
 
--- a/tests/rating/exchange_fleet.hpp
+++ b/tests/rating/exchange_fleet.hpp
@@ -70,11 +70,8 @@
         std::vector<std::size_t> const& viewers,
         std::vector<std::size_t> const& members)
     {
-        std::vector<vm_id> ids;
-        for (std::size_t const index : members)
-            ids.push_back(id_of(index));
         for (std::size_t const index : viewers)
-            this->vms[index]->exchange.set_vms(ids);
+            this->vms[index]->exchange.set_vms(ids_of(members));
     }
 
     void run_for(duration length)
@@ -122,10 +119,7 @@
         std::size_t upstream, std::vector<std::size_t> const& members) const
     {
         domain_ranking ranking(own_domain);
-        std::vector<vm_id> ids;
-        for (std::size_t const index : members)
-            ids.push_back(id_of(index));
-        ranking.set_vms(ids);
+        ranking.set_vms(ids_of(members));
         return ranking.collector_of(instance_of(upstream))->value() - 1;
     }
 
@@ -144,6 +138,13 @@
         return instance_number(1000 + upstream);
     }
 
+    static std::vector<vm_id> ids_of(std::vector<std::size_t> const& indices)
+    {
+        std::vector<vm_id> ids(indices.size());
+        std::ranges::transform(indices, ids.begin(), id_of);
+        return ids;
+    }
+
     static vm_id id_of(std::size_t vm)
     {
         return vm_id(static_cast<std::uint32_t>(vm + 1));
