--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -430,7 +430,9 @@
 std::vector<upstream_candidate>
 tag_router::registered_upstreams(time_point now) const
 {
-    return this->upstream_table.registered_candidates(now);
+    auto registered = this->upstream_table.registered_candidates(now);
+    this->add_ratings(now, registered);
+    return registered;
 }
 
 tagged_explanation tag_router::explain(
@@ -444,6 +446,7 @@
     explanation.pool = this->pool_of(*explanation.route, flow);
     explanation.candidates =
         this->upstream_table.candidates(now, explanation.pool);
+    this->add_ratings(now, explanation.candidates);
     tagged_flow const* const entry = this->flows.find(flow);
     if (entry != nullptr)
         explanation.current = this->upstream_table.find(entry->upstream);
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -136,6 +136,12 @@
     /// Puts a rating in force.
     void apply_rating(time_point now, upstream_rating const& rating);
 
+    /// Number of ratings in force.
+    [[nodiscard]] std::size_t count_ratings(time_point now) const;
+
+    /// The upstream with this tag, or nullptr; valid until the next event.
+    [[nodiscard]] tagged_upstream const* find_upstream(upstream_tag tag) const;
+
     /// The upstream's rating in force, if any.
     [[nodiscard]] std::optional<upstream_rating>
     rating_of(time_point now, upstream_tag upstream) const;
@@ -349,6 +355,7 @@
         tagged_flow const& flow,
         tagged_upstream const& upstream);
     void record_answer(time_point at, tagged_upstream& upstream);
+    void add_ratings(time_point now, std::span<upstream_candidate> shown) const;
     /// Finds out whether the packet begins or ends a request.
     void time_request(
         time_point now,
--- a/libraries/tagging/tag_router_rating.cpp
+++ b/libraries/tagging/tag_router_rating.cpp
@@ -138,6 +138,24 @@
     return this->ratings.find(now, upstream);
 }
 
+std::size_t tag_router::count_ratings(time_point now) const
+{
+    return this->ratings.count_in_force(now);
+}
+
+tagged_upstream const* tag_router::find_upstream(upstream_tag tag) const
+{
+    return this->upstream_table.find(tag);
+}
+
+void tag_router::add_ratings(
+    time_point now, std::span<upstream_candidate> shown) const
+{
+    for (upstream_candidate& each : shown)
+        each.view.rating =
+            this->ratings.find(now, tag_of(each.registered.instance));
+}
+
 void tag_router::forget_performance(upstream_tag restarted)
 {
     this->ratings.remove(restarted);
