Tagging: Place, spill and refuse openings by answer times

Cause: openings are placed by the flows that pass one VM, an upstream of another failure domain counts eight-fold whatever the wait, and load that does not fit is refused without regard to urgency (docs/design/hard-load.md, part 3). Ruled out: the best of all rated upstreams, which all VMs would choose at once; leaving out much slower upstreams by comparison with the whole pool, which would move all flows of a busy failure domain to the others at once; a trend of the spill before another domain has answered, which let all domains send a quarter of their openings to each other in an overload of all of them; a start of the spill after one slow answer, as VMs see only a few per second. Change: answer_time_placement, spill_control and priority_admission, and their use in tagged_upstreams::choose and tag_router for routes that declare a priority and a target latency, with `tagging.placement: answer_times`. A route's priority is read from the platform and travels in the registry's document. Ejected upstreams rank between ready and avoided ones, within the bound on ejections. Rules, log events and metrics for what is new; `explain` and `upstreams` show ratings. The test of names of reports counts to the new last value, and is as strict. Trials of ejected upstreams are not part of it.

--- a/libraries/control/answer_codec.cpp
+++ b/libraries/control/answer_codec.cpp
@@ -62,27 +62,53 @@
     return std::chrono::milliseconds(number);
 }
 
+void write(rating_answer const& from, control_schema::Rating::Builder to)
+{
+    to.setRelativePermille(from.relative_permille);
+    to.setShortPermille(from.short_permille);
+    to.setWorkPermille(from.work_permille);
+}
+
+rating_answer read(control_schema::Rating::Reader from)
+{
+    return {
+        .relative_permille = from.getRelativePermille(),
+        .short_permille = from.getShortPermille(),
+        .work_permille = from.getWorkPermille()};
+}
+
 void write(belief_answer const& from, control_schema::Belief::Builder to)
 {
-    to.setVerdict(static_cast<control_schema::Verdict>(from.verdict));
+    bool const is_ejected = from.verdict == shown_verdict::ejected;
+    to.setVerdict(
+        is_ejected ? control_schema::Verdict::AVOIDED
+                   : static_cast<control_schema::Verdict>(from.verdict));
+    to.setIsEjected(is_ejected);
     to.setLoadPermille(from.load_permille);
     to.setUnanswered(from.unanswered);
     to.setAnsweredAgo(number_of(from.answered_ago));
     to.setSilentFor(number_of(from.silent_for));
     to.setAvoidedFor(number_of(from.avoided_for));
     to.setMissingFor(number_of(from.missing_for));
+    if (from.rating)
+        write(*from.rating, to.initRating());
 }
 
 belief_answer read(control_schema::Belief::Reader from)
 {
+    auto const verdict = checked(from.getVerdict(), shown_verdict::cold);
+    std::optional<rating_answer> rating;
+    if (from.hasRating())
+        rating = read(from.getRating());
     return {
-        .verdict = checked(from.getVerdict(), shown_verdict::cold),
+        .verdict = from.getIsEjected() ? shown_verdict::ejected : verdict,
         .load_permille = from.getLoadPermille(),
         .unanswered = from.getUnanswered(),
         .answered_ago = read_length(from.getAnsweredAgo()),
         .silent_for = read_length(from.getSilentFor()),
         .avoided_for = read_length(from.getAvoidedFor()),
-        .missing_for = read_length(from.getMissingFor())};
+        .missing_for = read_length(from.getMissingFor()),
+        .rating = rating};
 }
 
 void write(packet_totals const& from, control_schema::PacketTotals::Builder to)
--- a/libraries/control/control.capnp
+++ b/libraries/control/control.capnp
@@ -140,6 +140,17 @@
   silentFor @4 :Int64 = -1;
   avoidedFor @5 :Int64 = -1;
   missingFor @6 :Int64 = -1;
+  # An ejected upstream has the verdict "avoided" besides, as earlier releases
+  # reject a verdict that they do not know.
+  isEjected @7 :Bool;
+  rating @8 :Rating;
+}
+
+struct Rating {
+  # In thousandths of what is usual, of the answers, and of the slots.
+  relativePermille @0 :UInt16;
+  shortPermille @1 :UInt16;
+  workPermille @2 :UInt16;
 }
 
 struct Explanation {
--- a/libraries/control/control_answers.hpp
+++ b/libraries/control/control_answers.hpp
@@ -104,6 +104,20 @@
     draining,
     evacuated,
     cold,
+    ejected,
+};
+
+/// How an upstream performs compared with what is usual, in thousandths.
+struct rating_answer
+{
+    /// Answer time.
+    std::uint16_t relative_permille = 0;
+    /// Share of answers that were much shorter than usual.
+    std::uint16_t short_permille = 0;
+    /// Requests in progress or queued, by slots.
+    std::uint16_t work_permille = 0;
+
+    bool operator==(rating_answer const&) const = default;
 };
 
 /// What a VM believes of an upstream, with the evidence.
@@ -114,11 +128,13 @@
     std::uint32_t load_permille = 0;
     /// Openings in a row that it left unanswered.
     std::uint32_t unanswered = 0;
-    std::optional<std::chrono::milliseconds> answered_ago;
-    std::optional<std::chrono::milliseconds> silent_for;
+    std::optional<std::chrono::milliseconds> answered_ago{};
+    std::optional<std::chrono::milliseconds> silent_for{};
     /// It is spared for this much longer.
-    std::optional<std::chrono::milliseconds> avoided_for;
-    std::optional<std::chrono::milliseconds> missing_for;
+    std::optional<std::chrono::milliseconds> avoided_for{};
+    std::optional<std::chrono::milliseconds> missing_for{};
+    /// Absent where no rating is in force.
+    std::optional<rating_answer> rating{};
 
     bool operator==(belief_answer const&) const = default;
 };
--- a/libraries/event/effect.hpp
+++ b/libraries/event/effect.hpp
@@ -239,6 +239,9 @@
     /// No VM of a failure domain says anything, or one does again.
     domain_silent,
     domain_heard,
+    /// A share of a pool's openings goes to other failure domains, or no more.
+    spill_started,
+    spill_stopped,
 };
 
 /// A belief's input: what it is, and what it was.
--- a/libraries/event/flow_decision.hpp
+++ b/libraries/event/flow_decision.hpp
@@ -81,6 +81,16 @@
     queue_too_long,
     /// This VM has just started and does not have the whole registry.
     registry_incomplete,
+    /// Of two drawn at random, the one that is expected to answer sooner.
+    quicker_of_two,
+    /// The fewest flows, by slots and speed, as some upstreams are slow.
+    least_loaded_by_speed,
+    /// All that are left were ejected, as they answer errors.
+    only_ejected_left,
+    /// Sent to another failure domain, as requests wait in the own one.
+    spilled,
+    /// Requests of the pool wait too long, and this one is less urgent.
+    less_urgent,
 };
 
 /// What this VM knew of the registry when it decided.
@@ -118,6 +128,8 @@
     duration waited{};
     /// When this VM sent the flow's opening; never, if another one did.
     std::optional<time_point> opened_at;
+    /// Of the route; absent where it declares none.
+    std::optional<std::uint8_t> priority{};
 };
 
 } // namespace cairnhead
--- a/libraries/observability/effect_text.hpp
+++ b/libraries/observability/effect_text.hpp
@@ -164,6 +164,10 @@
         return "domain_silent";
     case report_kind::domain_heard:
         return "domain_heard";
+    case report_kind::spill_started:
+        return "spill_started";
+    case report_kind::spill_stopped:
+        return "spill_stopped";
     }
     return {};
 }
@@ -241,6 +245,16 @@
         return "queue_too_long";
     case flow_rule::registry_incomplete:
         return "registry_incomplete";
+    case flow_rule::quicker_of_two:
+        return "quicker_of_two";
+    case flow_rule::least_loaded_by_speed:
+        return "least_loaded_by_speed";
+    case flow_rule::only_ejected_left:
+        return "only_ejected_left";
+    case flow_rule::spilled:
+        return "spilled";
+    case flow_rule::less_urgent:
+        return "less_urgent";
     }
     return {};
 }
--- a/libraries/observability/flow_log.cpp
+++ b/libraries/observability/flow_log.cpp
@@ -118,6 +118,8 @@
         fields.add("pool", decided.pool_size);
         fields.add("ready", decided.ready);
     }
+    if (decided.step == flow_step::refused && decided.priority)
+        fields.add("priority", std::uint64_t{*decided.priority});
     if (decided.waited > duration{})
         fields.add("waited_ms", decided.waited);
     if (decided.opened_at)
--- a/libraries/observability/flow_metrics.cpp
+++ b/libraries/observability/flow_metrics.cpp
@@ -44,6 +44,18 @@
     return "unknown";
 }
 
+/// Priorities with labels of their own: a scrape must not grow with what the
+/// platform publishes.
+constexpr std::uint8_t labelled_priorities = 10;
+
+std::string to_label(std::optional<std::uint8_t> priority)
+{
+    if (!priority)
+        return "none";
+    return *priority < labelled_priorities ? std::to_string(*priority)
+                                           : shared_label;
+}
+
 } // namespace
 
 flow_metrics::flow_metrics(prometheus::Registry& all)
@@ -75,6 +87,17 @@
               .Name("cairnhead_openings_refused_by_rule_total")
               .Help("Openings that were refused, by the rule that said so.")
               .Register(all)),
+      refusals_by_priority(
+          BuildCounter()
+              .Name("cairnhead_refused_openings_total")
+              .Help("Openings that were refused, by the priority that their "
+                    "route declares.")
+              .Register(all)),
+      spilled(BuildCounter()
+                  .Name("cairnhead_spilled_openings_total")
+                  .Help("Openings that were sent to another failure domain, as "
+                        "requests wait in the own one, by service.")
+                  .Register(all)),
       evacuated_domains(BuildGauge()
                             .Name("cairnhead_evacuated_failure_domains")
                             .Help("Failure domains that operators evacuate.")
@@ -106,9 +129,14 @@
         decided.step == flow_step::confirmed && decided.waited > duration{};
     if (is_timed)
         series.answers->Observe(to_seconds(decided.waited));
-    if (decided.step == flow_step::refused)
-        this->refusals.Add({{"rule", std::string(to_text(decided.rule))}})
-            .Increment();
+    if (decided.rule == flow_rule::spilled)
+        series.spilled->Increment();
+    if (decided.step != flow_step::refused)
+        return;
+    this->refusals.Add({{"rule", std::string(to_text(decided.rule))}})
+        .Increment();
+    this->refusals_by_priority.Add({{"priority", to_label(decided.priority)}})
+        .Increment();
 }
 
 void flow_metrics::observe_check(connection_outcome outcome, duration took)
@@ -182,6 +210,7 @@
         series.steps[index] =
             &this->steps.Add({{"service", label}, {"step", step}});
     }
+    series.spilled = &this->spilled.Add({{"service", label}});
     series.answers = &this->answers.Add({{"service", label}}, answer_bounds);
     return series;
 }
--- a/libraries/observability/flow_metrics.hpp
+++ b/libraries/observability/flow_metrics.hpp
@@ -83,6 +83,7 @@
     struct service_series
     {
         std::array<counter, count_of_values<flow_step>()> steps{};
+        counter spilled = nullptr;
         prometheus::Histogram* answers = nullptr;
     };
 
@@ -96,6 +97,8 @@
     prometheus::Family<prometheus::Histogram>& calls;
     prometheus::Family<prometheus::Counter>& rejected_entries;
     prometheus::Family<prometheus::Counter>& refusals;
+    prometheus::Family<prometheus::Counter>& refusals_by_priority;
+    prometheus::Family<prometheus::Counter>& spilled;
     prometheus::Family<prometheus::Gauge>& evacuated_domains;
     prometheus::Family<prometheus::Gauge>& upstreams;
     prometheus::Family<prometheus::Gauge>& versions;
--- a/libraries/observability/log_report.cpp
+++ b/libraries/observability/log_report.cpp
@@ -34,6 +34,9 @@
     case report_kind::domain_silent:
     case report_kind::domain_heard:
         return "failure_domain";
+    case report_kind::spill_started:
+    case report_kind::spill_stopped:
+        return "service";
     default:
         return "subject";
     }
--- a/libraries/reducer/tagged_view.cpp
+++ b/libraries/reducer/tagged_view.cpp
@@ -93,6 +93,7 @@
 bool is_spared(upstream_verdict verdict)
 {
     return verdict == upstream_verdict::avoided ||
+           verdict == upstream_verdict::ejected ||
            condition_for(verdict) == upstream_condition::failed;
 }
 
--- a/libraries/registry/registry.capnp
+++ b/libraries/registry/registry.capnp
@@ -62,6 +62,8 @@
     pools @4 :List(WeightedPool);
     changedAt @5 :UInt64;
     targetMilliseconds @6 :UInt32;
+    # One more than the priority; zero for none.
+    priority @7 :UInt16;
 }
 
 struct RemovedRoute
--- a/libraries/registry/registry.cpp
+++ b/libraries/registry/registry.cpp
@@ -10,6 +10,8 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
+#include <optional>
 #include <span>
 #include <utility>
 
@@ -136,6 +138,21 @@
         document_version(source.getChangedAt())};
 }
 
+/// Documents of releases without priorities hold zero, which stands for none.
+std::uint16_t to_stored(std::optional<std::uint8_t> priority)
+{
+    return priority ? static_cast<std::uint16_t>(*priority + 1) : 0;
+}
+
+std::optional<std::uint8_t> read_priority(std::uint16_t stored)
+{
+    constexpr std::uint16_t highest_stored =
+        std::numeric_limits<std::uint8_t>::max() + 1;
+    if (stored == 0 || stored > highest_stored)
+        return std::nullopt;
+    return static_cast<std::uint8_t>(stored - 1);
+}
+
 void write(
     published_route const& source,
     name_table& names,
@@ -147,6 +164,7 @@
     target.setIsIdempotent(source.is_idempotent);
     target.setChangedAt(source.changed_at.value());
     target.setTargetMilliseconds(to_milliseconds(source.target_latency));
+    target.setPriority(to_stored(source.priority));
     auto pools = target.initPools(static_cast<unsigned>(source.pools.size()));
     unsigned index = 0;
     for (weighted_pool const& part : source.pools)
@@ -171,7 +189,8 @@
         .pools = {},
         .changed_at = document_version(source.getChangedAt()),
         .target_latency =
-            std::chrono::milliseconds(source.getTargetMilliseconds())};
+            std::chrono::milliseconds(source.getTargetMilliseconds()),
+        .priority = read_priority(source.getPriority())};
     for (auto const part : source.getPools())
         route.pools.push_back(
             {name_at(names, part.getPool()), part.getWeight()});
--- a/libraries/registry/registry.hpp
+++ b/libraries/registry/registry.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <exception>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -114,6 +115,9 @@
     document_version changed_at{};
     /// An answer after this is late for the caller; zero where it is not told.
     duration target_latency{};
+    /// How urgent its requests are: zero is the most urgent. Absent where the
+    /// platform does not declare it.
+    std::optional<std::uint8_t> priority{};
 
     bool operator==(published_route const&) const = default;
 };
--- a/libraries/runtime/answer_builder.cpp
+++ b/libraries/runtime/answer_builder.cpp
@@ -136,6 +136,8 @@
         return shown_verdict::evacuated;
     case upstream_verdict::cold:
         return shown_verdict::cold;
+    case upstream_verdict::ejected:
+        return shown_verdict::ejected;
     }
     return shown_verdict::gone;
 }
@@ -151,6 +153,17 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(*end - *begin);
 }
 
+std::optional<rating_answer>
+make_rating(std::optional<upstream_rating> const& held)
+{
+    if (!held)
+        return std::nullopt;
+    return rating_answer{
+        .relative_permille = held->relative_permille,
+        .short_permille = held->short_permille,
+        .work_permille = held->work_permille};
+}
+
 belief_answer make_belief(time_point now, upstream_view const& held)
 {
     return {
@@ -160,7 +173,8 @@
         .answered_ago = length_between(held.answered_at, now),
         .silent_for = length_between(held.silent_since, now),
         .avoided_for = length_between(now, held.avoided_until),
-        .missing_for = length_between(held.missing_since, now)};
+        .missing_for = length_between(held.missing_since, now),
+        .rating = make_rating(held.rating)};
 }
 
 upstream_answer make_upstream(time_point now, shown_upstream const& shown)
--- a/libraries/settings/section_fields.hpp
+++ b/libraries/settings/section_fields.hpp
@@ -43,11 +43,21 @@
     double maximum;
 };
 
+/// The file's word for a choice of the placement rule. Its words are those of
+/// `to_placement_rule`.
+template <typename Section>
+struct placement_rule_field
+{
+    std::string_view name;
+    placement_rule Section::*member;
+};
+
 template <typename Section>
 using section_field = std::variant<
     duration_field<Section>,
     number_field<Section>,
-    fraction_field<Section>>;
+    fraction_field<Section>,
+    placement_rule_field<Section>>;
 
 /// Whether two ordered durations may be the same.
 enum class ordering : std::uint8_t
@@ -298,7 +308,8 @@
 
     using fractions = fraction_field<section>;
 
-    static constexpr std::array<section_field<section>, 17> fields = {{
+    static constexpr std::array<section_field<section>, 18> fields = {{
+        placement_rule_field<section>{"placement", &section::placement},
         durations{
             "upstream_retention", &section::upstream_retention,
             shortest_duration, longest_lifetime},
--- a/libraries/settings/settings_reader.cpp
+++ b/libraries/settings/settings_reader.cpp
@@ -92,6 +92,24 @@
     return std::nullopt;
 }
 
+std::optional<placement_rule> read_placement_rule(
+    settings_mapping const& mapping,
+    std::string_view key,
+    settings_errors& errors)
+{
+    std::string const* const text = mapping.find_scalar(key);
+    if (text == nullptr)
+        return std::nullopt;
+    if (*text == "flows")
+        return placement_rule::flows;
+    if (*text == "answer_times")
+        return placement_rule::answer_times;
+    errors.add(
+        settings_error_kind::out_of_range, mapping.place_of(key),
+        mapping.path_of(key));
+    return std::nullopt;
+}
+
 std::optional<ipv4_address> read_address(
     yaml_value const& value, std::string_view subject, settings_errors& errors)
 {
--- a/libraries/settings/settings_reader.hpp
+++ b/libraries/settings/settings_reader.hpp
@@ -79,6 +79,13 @@
     duration_range const& range,
     settings_errors& errors);
 
+/// Reads a scalar as a placement rule, `flows` or `answer_times`. Reports
+/// `out_of_range` for any other word.
+[[nodiscard]] std::optional<placement_rule> read_placement_rule(
+    settings_mapping const& mapping,
+    std::string_view key,
+    settings_errors& errors);
+
 /// Reads a scalar as an IPv4 address. Reports `bad_address`.
 [[nodiscard]] std::optional<ipv4_address> read_address(
     yaml_value const& value, std::string_view subject, settings_errors& errors);
@@ -132,6 +139,14 @@
             this->target.*field.member = *value;
     }
 
+    void operator()(placement_rule_field<Section> const& field) const
+    {
+        std::optional<placement_rule> const value =
+            read_placement_rule(this->mapping, field.name, this->errors);
+        if (value.has_value())
+            this->target.*field.member = *value;
+    }
+
 private:
     settings_mapping const& mapping;
     Section& target;
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -31,13 +31,13 @@
 } // namespace
 
 tag_router::tag_router(
-    tagging_settings const& chosen,
-    failure_domain_id own_domain,
-    std::uint64_t seed)
-    : settings(chosen), domains(chosen, own_domain),
-      upstream_table(chosen, this->domains, own_domain, seed),
+    tagging_settings const& chosen, failure_domain_id own, std::uint64_t seed)
+    : settings(chosen), own_domain(own), domains(chosen, own),
+      upstream_table(chosen, this->domains, own, seed),
       flows(chosen.maximum_flows)
 {
+    if (chosen.placement == placement_rule::answer_times)
+        this->upstream_table.use_ratings(this->ratings);
 }
 
 void tag_router::set_listings(
@@ -354,6 +354,7 @@
         {
             return entry.second.is_idle(now);
         });
+    this->forget_idle_loads(now, effects);
     this->recheck_unreachable(now);
     this->start_due_checks(now, effects);
     this->domains.probe_again(now);
@@ -450,6 +451,7 @@
     decision.service = choice.pool;
     decision.pool_size = choice.pool_size;
     decision.ready = choice.ready;
+    decision.priority = choice.priority;
     return decision;
 }
 
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -16,7 +16,9 @@
 #include <tagging/message_budget.hpp>
 #include <tagging/pause_detector.hpp>
 #include <tagging/pending_openings.hpp>
+#include <tagging/priority_admission.hpp>
 #include <tagging/queue_delay_control.hpp>
+#include <tagging/spill_control.hpp>
 #include <tagging/tagged_flows.hpp>
 #include <tagging/tagged_upstreams.hpp>
 
@@ -68,7 +70,7 @@
     /// Precondition: the settings outlive the object.
     tag_router(
         tagging_settings const& settings,
-        failure_domain_id own_domain,
+        failure_domain_id own,
         std::uint64_t seed);
 
     /// Puts new listings in force; null ones are ignored.
@@ -194,6 +196,20 @@
         tag_certainty certainty = tag_certainty::certain;
     };
 
+    /// How a pool copes with its load.
+    struct pool_load
+    {
+        spill_control spill;
+        priority_admission admission;
+        /// When this VM last got an opening of the pool.
+        time_point opened_at;
+        /// The usual answer time of the route that was opened last, of those
+        /// whose usual time is known.
+        duration usual_time{};
+        /// Sorted.
+        std::vector<failure_domain_id> spill_to;
+    };
+
     void route_opening(
         time_point now, packet_arrived const& packet, effect_list& effects);
     /// Forgets what other VMs told, and the packets held, of an earlier flow
@@ -357,10 +373,51 @@
     void add_observation(request_observation const& seen);
     /// Forgets how an upstream performed before it restarted.
     void forget_performance(upstream_tag restarted);
-    [[nodiscard]] bool should_refuse_for_delay(
+    /// Whether spill and admission by priority apply to the route.
+    [[nodiscard]] bool follows_answer_times(published_route const& route) const;
+    [[nodiscard]] flow_length
+    flow_length_of(time_point now, published_route const& route) const;
+    [[nodiscard]] opening_kind
+    kind_of(time_point now, published_route const& route, flow_id flow) const;
+    /// Records an opening that no VM has placed before, and adapts the spill of
+    /// its pool.
+    void record_load(
+        time_point now,
+        published_route const& route,
+        flow_id flow,
+        effect_list& effects);
+    /// Forgets pools that get no openings any more, and ends their spill.
+    void forget_idle_loads(time_point now, effect_list& effects);
+    void update_spill(time_point now, std::string_view pool, pool_load& load);
+    /// Adds what is known of other failure domains, and lists those to which
+    /// openings may be spilled.
+    void add_other_domains(
+        time_point now,
+        std::string_view pool,
+        std::span<failure_domain_id const> others,
+        spill_evidence& evidence,
+        std::vector<failure_domain_id>& spill_to) const;
+    /// Nothing if the latest answer is older than `lifetime`.
+    [[nodiscard]] std::optional<mean_answer_time> mean_answer_of(
+        time_point now,
+        std::string_view pool,
+        failure_domain_id domain,
+        duration lifetime) const;
+    void report_spill(
+        time_point now,
+        std::string_view pool,
+        pool_load const& load,
+        effect_list& effects) const;
+    /// The rule by which the opening is refused, as requests of its pool wait;
+    /// nothing if it is admitted.
+    [[nodiscard]] std::optional<flow_rule> refusal_for_delay(
         time_point now,
         packet_arrived const& packet,
         published_route const& route);
+    /// Whether another VM may have placed the original of a retransmitted
+    /// opening, or the caller's retransmission of this one.
+    [[nodiscard]] static bool
+    may_be_placed_elsewhere(packet_arrived const& packet);
     void record_unanswered(
         time_point now, tagged_upstream& upstream, effect_list& effects);
     void avoid(time_point now, tagged_upstream& upstream, effect_list& effects);
@@ -385,6 +442,7 @@
         effect_list& effects);
 
     tagging_settings const& settings;
+    failure_domain_id own_domain;
     std::shared_ptr<route_listing const> routes;
     std::shared_ptr<upstream_listing const> listed_upstreams;
     std::shared_ptr<evacuation_listing const> evacuations;
@@ -411,6 +469,8 @@
     pause_detector pauses;
     /// By pool.
     std::map<std::string, queue_delay_control, std::less<>> delay_controls;
+    /// By pool; of pools with a route that declares a priority.
+    std::map<std::string, pool_load, std::less<>> pool_loads;
     /// Upstreams whose address another upstream has taken over, and whose flows
     /// have not been reset yet.
     std::vector<upstream_tag> replaced_upstreams;
--- a/libraries/tagging/tag_router_openings.cpp
+++ b/libraries/tagging/tag_router_openings.cpp
@@ -25,15 +25,6 @@
 /// retransmission: the caller reuses the ports.
 constexpr duration retransmission_window = 3s;
 
-/// Whether another VM may have placed the original of a retransmitted opening,
-/// or the caller's retransmission of this one. Retransmissions are counted in
-/// the acknowledgement number.
-bool may_be_placed_elsewhere(packet_arrived const& packet)
-{
-    return packet.progress.acknowledged != 0 ||
-           packet.waited >= first_retransmission;
-}
-
 } // namespace
 
 void tag_router::route_opening(
@@ -122,12 +113,17 @@
             packet, drop_reason::refused_silently, flow_rule::data_in_opening,
             effects);
     bool const is_first_attempt = excluded == upstream_tag();
-    if (is_first_attempt &&
-        this->should_refuse_for_delay(now, packet, *route->second))
+    if (is_first_attempt && !may_be_placed_elsewhere(packet))
+        this->record_load(now, *route->second, packet.flow, effects);
+    std::optional<flow_rule> refusal;
+    if (is_first_attempt)
+        refusal = this->refusal_for_delay(now, packet, *route->second);
+    if (refusal)
         return this->refuse(
             now, packet,
-            {.rule = flow_rule::queue_too_long,
-             .pool = std::string(this->pool_of(*route->second, packet.flow))},
+            {.rule = *refusal,
+             .pool = std::string(this->pool_of(*route->second, packet.flow)),
+             .priority = route->second->priority},
             effects);
     upstream_choice const choice =
         this->choose(now, *route->second, packet.flow, excluded);
@@ -147,23 +143,11 @@
         this->upstream_table.opening_tag_of(*choice.chosen), effects);
 }
 
-bool tag_router::should_refuse_for_delay(
-    time_point now, packet_arrived const& packet, published_route const& route)
+// Retransmissions are counted in the acknowledgement number.
+bool tag_router::may_be_placed_elsewhere(packet_arrived const& packet)
 {
-    // A reset would end a flow that is established by now.
-    bool const has_target = route.target_latency > duration::zero();
-    if (may_be_placed_elsewhere(packet) || !has_target)
-        return false;
-    auto const control =
-        this->delay_controls.find(this->pool_of(route, packet.flow));
-    if (control == this->delay_controls.end())
-        return false;
-    // Drawn by the flow's hash, so that retransmissions of an opening get the
-    // same answer.
-    constexpr std::uint64_t parts = 1000;
-    auto const draw =
-        static_cast<double>(hash_pair(packet.flow.value(), 1) % parts);
-    return draw < parts * control->second.refusal_share(now);
+    return packet.progress.acknowledged != 0 ||
+           packet.waited >= first_retransmission;
 }
 
 void tag_router::refuse(
@@ -176,7 +160,8 @@
         .token = packet.token,
         .organisation = {},
         .style = refusal_style::reset,
-        .reason = choice.rule == flow_rule::queue_too_long
+        .reason = choice.rule == flow_rule::queue_too_long ||
+                          choice.rule == flow_rule::less_urgent
                       ? refusal_reason::upstreams_full
                       : refusal_reason::no_healthy_upstream,
         .retry_at = now + 1s});
@@ -192,10 +177,13 @@
     upstream_tag excluded)
 {
     std::string_view const pool = this->pool_of(route, flow);
-    upstream_choice choice = this->upstream_table.choose(now, pool, excluded);
-    if (choice.chosen != nullptr || excluded == upstream_tag())
-        return choice;
-    return this->upstream_table.choose(now, pool, upstream_tag());
+    opening_kind const kind = this->kind_of(now, route, flow);
+    upstream_choice choice =
+        this->upstream_table.choose(now, pool, excluded, kind);
+    if (choice.chosen == nullptr && excluded != upstream_tag())
+        choice = this->upstream_table.choose(now, pool, upstream_tag(), kind);
+    choice.priority = route.priority;
+    return choice;
 }
 
 void tag_router::add_opening(
--- a/libraries/tagging/tag_router_rating.cpp
+++ b/libraries/tagging/tag_router_rating.cpp
@@ -130,6 +130,7 @@
 void tag_router::apply_rating(time_point now, upstream_rating const& rating)
 {
     this->ratings.apply(now, rating);
+    this->upstream_table.record_rating(rating.upstream);
 }
 
 std::optional<upstream_rating>
--- a/libraries/tagging/tagged_upstreams.cpp
+++ b/libraries/tagging/tagged_upstreams.cpp
@@ -47,7 +47,8 @@
     domain_reachability const& reachability,
     failure_domain_id own,
     std::uint64_t seed)
-    : settings(chosen), domains(reachability), own_domain(own), random(seed)
+    : settings(chosen), domains(reachability), own_domain(own), random(seed),
+      rated_placement(hash_pair(seed, 1))
 {
 }
 
@@ -191,6 +192,7 @@
     restarted.failures = 0;
     restarted.avoided_until = {};
     restarted.reach = {};
+    restarted.openings_since_rating.clear();
     restarted.cold_until =
         now + std::chrono::milliseconds(restarted.registered.cold_milliseconds);
 }
@@ -255,13 +257,18 @@
     return is_taken ? upstream.tag : provisional;
 }
 
-upstream_view
-tagged_upstreams::view_of(time_point now, tagged_upstream const& upstream) const
+upstream_view tagged_upstreams::view_of(
+    time_point now,
+    tagged_upstream const& upstream,
+    std::span<upstream_tag const> ejected) const
 {
     upstream_view view;
-    view.verdict = this->verdict_on(now, upstream);
+    view.verdict = this->verdict_among(now, upstream, ejected);
+    view.rating = this->rating_of(now, upstream);
+    double const slowness =
+        view.rating ? view.rating->relative_permille / whole_permille : 1.0;
     view.load_permille = static_cast<std::uint32_t>(
-        std::lround(this->load_of(now, upstream) * whole_permille));
+        std::lround(this->load_of(now, upstream) * slowness * whole_permille));
     view.unanswered = upstream.failures;
     if (upstream.reach.answered_at() != time_point())
         view.answered_at = upstream.reach.answered_at();
@@ -275,19 +282,30 @@
 }
 
 upstream_candidate tagged_upstreams::candidate_of(
-    time_point now, tagged_upstream const& upstream) const
+    time_point now,
+    tagged_upstream const& upstream,
+    std::span<upstream_tag const> ejected) const
 {
-    return {upstream.registered, upstream.flows, this->view_of(now, upstream)};
+    return {
+        upstream.registered, upstream.flows,
+        this->view_of(now, upstream, ejected)};
 }
 
 std::vector<upstream_candidate>
 tagged_upstreams::registered_candidates(time_point now) const
 {
+    std::vector<upstream_tag> ejected;
+    for (auto const& [pool, members] : this->pools)
+    {
+        auto const of_pool = this->ejected_of(now, members);
+        ejected.insert(ejected.end(), of_pool.begin(), of_pool.end());
+    }
+    std::ranges::sort(ejected);
     std::vector<upstream_candidate> found;
     for (tagged_upstream const& one : this->upstreams)
     {
         if (!one.missing_since)
-            found.push_back(this->candidate_of(now, one));
+            found.push_back(this->candidate_of(now, one, ejected));
     }
     return found;
 }
@@ -299,10 +317,11 @@
     auto const members = this->pools.find(pool);
     if (members == this->pools.end())
         return found;
+    auto const ejected = this->ejected_of(now, members->second);
     for (std::size_t const index : members->second)
     {
         tagged_upstream const& one = this->upstreams[index];
-        found.push_back(this->candidate_of(now, one));
+        found.push_back(this->candidate_of(now, one, ejected));
     }
     std::ranges::sort(
         found, {},
--- a/libraries/tagging/tagged_upstreams.hpp
+++ b/libraries/tagging/tagged_upstreams.hpp
@@ -2,9 +2,13 @@
 
 #include <event/effect.hpp>
 #include <event/settings.hpp>
+#include <rating/decayed_sum.hpp>
+#include <rating/rating_table.hpp>
 #include <registry/tag.hpp>
+#include <tagging/answer_time_placement.hpp>
 #include <tagging/domain_reachability.hpp>
 #include <tagging/slow_start_limiter.hpp>
+#include <tagging/spill_control.hpp>
 #include <tagging/upstream_reach.hpp>
 #include <tagging/upstream_view.hpp>
 
@@ -42,6 +46,9 @@
     /// Flows that this VM forwards to the upstream.
     std::uint32_t flows = 0;
     upstream_reach reach;
+    /// Openings that this VM sent it since its rating. A rating covers about a
+    /// second; without one, earlier openings are done, too.
+    decayed_sum openings_since_rating{std::chrono::seconds(1)};
 };
 
 /// Address and port at which an upstream receives packets.
@@ -72,6 +79,19 @@
     /// Upstreams of the pool that were excluded for these reasons.
     std::uint32_t evacuated = 0;
     std::uint32_t cold = 0;
+    /// Of the opening's route.
+    std::optional<std::uint8_t> priority{};
+};
+
+/// What the choice of an upstream depends on besides the pool.
+struct opening_kind
+{
+    /// Otherwise the upstream is chosen by the flows that pass this VM alone.
+    bool uses_ratings = false;
+    flow_length length = flow_length::many_requests;
+    /// The failure domains to which the opening is spilled; empty if it is not.
+    /// Precondition: valid during the choice.
+    std::span<failure_domain_id const> spill_to{};
 };
 
 /// A registered upstream as a candidate for a new flow.
@@ -160,8 +180,25 @@
     /// that is ready. An upstream that recently left openings unanswered, or
     /// that is missing from the registry, is chosen only if no other is left.
     /// Never chooses `excluded` (zero excludes none).
-    [[nodiscard]] upstream_choice
-    choose(time_point now, std::string_view pool, upstream_tag excluded);
+    /// With ratings, one that answers errors ranks between these, and among
+    /// those that are ready slow and busy ones are left out.
+    [[nodiscard]] upstream_choice choose(
+        time_point now,
+        std::string_view pool,
+        upstream_tag excluded,
+        opening_kind const& kind = {});
+
+    /// Lets choices depend on ratings where the opening's kind says so.
+    /// Precondition: the table outlives the object.
+    void use_ratings(rating_table const& table);
+
+    /// Records that the upstream was rated just now.
+    void record_rating(upstream_tag rated);
+
+    /// The failure domains, other than the own one, in which an upstream of
+    /// the pool is ready; sorted.
+    [[nodiscard]] std::vector<failure_domain_id>
+    other_ready_domains(time_point now, std::string_view pool) const;
 
     /// The upstreams that the registry lists, with their state as this VM sees
     /// it.
@@ -200,6 +237,7 @@
     enum class selection_tier : std::uint8_t
     {
         ready,
+        ejected,
         avoided,
         missing,
         unusable,
@@ -213,10 +251,35 @@
     is_cold_and_full(time_point now, tagged_upstream const& upstream) const;
     [[nodiscard]] pool_warmup const*
     warmup_of(tagged_upstream const& upstream) const;
-    [[nodiscard]] upstream_view
-    view_of(time_point now, tagged_upstream const& upstream) const;
-    [[nodiscard]] upstream_candidate
-    candidate_of(time_point now, tagged_upstream const& upstream) const;
+    /// The verdict, where these upstreams count as ejected; sorted.
+    [[nodiscard]] upstream_verdict verdict_among(
+        time_point now,
+        tagged_upstream const& upstream,
+        std::span<upstream_tag const> ejected) const;
+    /// Of the pool with these members; sorted.
+    [[nodiscard]] std::vector<upstream_tag>
+    ejected_of(time_point now, std::span<std::size_t const> members) const;
+    [[nodiscard]] std::optional<upstream_rating>
+    rating_of(time_point now, tagged_upstream const& upstream) const;
+    /// Replaces the choice among the ready upstreams by one that depends on
+    /// ratings, or spills the opening.
+    void choose_by_ratings(
+        time_point now,
+        opening_kind const& kind,
+        std::span<tagged_upstream* const> ready,
+        upstream_choice& choice);
+    [[nodiscard]] rated_upstream
+    rate(time_point now, tagged_upstream const& upstream) const;
+    [[nodiscard]] double
+    slots_of(time_point now, tagged_upstream const& upstream) const;
+    [[nodiscard]] upstream_view view_of(
+        time_point now,
+        tagged_upstream const& upstream,
+        std::span<upstream_tag const> ejected) const;
+    [[nodiscard]] upstream_candidate candidate_of(
+        time_point now,
+        tagged_upstream const& upstream,
+        std::span<upstream_tag const> ejected) const;
     [[nodiscard]] double
     load_of(time_point now, tagged_upstream const& upstream) const;
     void register_upstream(
@@ -235,6 +298,9 @@
     domain_reachability const& domains;
     failure_domain_id own_domain;
     std::mt19937_64 random;
+    answer_time_placement rated_placement;
+    /// Null: placement does not depend on ratings.
+    rating_table const* ratings = nullptr;
     std::vector<tagged_upstream> upstreams;
     absl::flat_hash_set<failure_domain_id> evacuated;
     std::map<std::string, pool_warmup, std::less<>> warmups;
--- a/libraries/tagging/tagged_upstreams_choice.cpp
+++ b/libraries/tagging/tagged_upstreams_choice.cpp
@@ -94,10 +94,15 @@
 {
     if (now < upstream.cold_until)
         upstream.slow_start_openings.record_opening(now);
+    if (this->ratings != nullptr)
+        upstream.openings_since_rating.add(now, 1);
 }
 
 upstream_choice tagged_upstreams::choose(
-    time_point now, std::string_view pool, upstream_tag excluded)
+    time_point now,
+    std::string_view pool,
+    upstream_tag excluded,
+    opening_kind const& kind)
 {
     upstream_choice best;
     best.pool = pool;
@@ -108,16 +113,23 @@
     auto best_tier = selection_tier::unusable;
     double best_load = 0;
     std::uniform_real_distribution<double> tie_breaker(0.0, tie_breaking_load);
+    bool const uses_ratings = kind.uses_ratings && this->ratings != nullptr;
+    std::vector<upstream_tag> ejected;
+    if (uses_ratings)
+        ejected = this->ejected_of(now, members->second);
+    std::vector<tagged_upstream*> ready;
     for (std::size_t const index : members->second)
     {
         tagged_upstream& candidate = this->upstreams[index];
-        auto const verdict = this->verdict_on(now, candidate);
+        auto const verdict = this->verdict_among(now, candidate, ejected);
         auto const tier = tier_for(verdict);
         best.evacuated += verdict == upstream_verdict::evacuated ? 1 : 0;
         best.cold += verdict == upstream_verdict::cold ? 1 : 0;
         if (tier == selection_tier::unusable || candidate.tag == excluded)
             continue;
         best.ready += tier == selection_tier::ready ? 1 : 0;
+        if (uses_ratings && tier == selection_tier::ready)
+            ready.push_back(&candidate);
         double const load =
             this->load_of(now, candidate) + tie_breaker(this->random);
         bool const is_better =
@@ -129,6 +141,8 @@
         best_load = load;
     }
     best.rule = rule_for(best_tier);
+    if (!ready.empty())
+        this->choose_by_ratings(now, kind, ready, best);
     if (best.chosen == nullptr && best.cold > 0)
         best.rule = flow_rule::only_cold_left;
     else if (best.chosen == nullptr && best.evacuated > 0)
@@ -142,6 +156,8 @@
     {
     case selection_tier::ready:
         return flow_rule::least_loaded;
+    case selection_tier::ejected:
+        return flow_rule::only_ejected_left;
     case selection_tier::avoided:
         return flow_rule::only_avoided_left;
     case selection_tier::missing:
@@ -159,6 +175,8 @@
     {
     case upstream_verdict::ready:
         return selection_tier::ready;
+    case upstream_verdict::ejected:
+        return selection_tier::ejected;
     case upstream_verdict::avoided:
     case upstream_verdict::unreachable:
     case upstream_verdict::domain_unreachable:
@@ -204,17 +222,24 @@
 
 double
 tagged_upstreams::load_of(time_point now, tagged_upstream const& upstream) const
+{
+    double const distance_factor =
+        upstream.domain == this->own_domain
+            ? 1.0
+            : static_cast<double>(this->settings.remote_load_factor);
+    return distance_factor * (upstream.flows + 1) /
+           this->slots_of(now, upstream);
+}
+
+double tagged_upstreams::slots_of(
+    time_point now, tagged_upstream const& upstream) const
 {
     double const slow_start_factor =
         now < upstream.cold_until
             ? this->settings.cold_share_percent / whole_percent
             : 1.0;
     double const slots = std::max(upstream.registered.slots, std::uint32_t{1});
-    double const distance_factor =
-        upstream.domain == this->own_domain
-            ? 1.0
-            : static_cast<double>(this->settings.remote_load_factor);
-    return distance_factor * (upstream.flows + 1) / (slots * slow_start_factor);
+    return slots * slow_start_factor;
 }
 
 } // namespace cairnhead
--- a/libraries/tagging/upstream_view.hpp
+++ b/libraries/tagging/upstream_view.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/time.hpp>
+#include <rating/upstream_rating.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -29,6 +30,8 @@
     evacuated,
     /// It is in slow start, and this VM may send it no more openings for now.
     cold,
+    /// Its answers are errors, by its rating.
+    ejected,
 };
 
 /// The state of an upstream as one VM sees it, with the evidence.
@@ -36,7 +39,8 @@
 {
     upstream_verdict verdict = upstream_verdict::ready;
     /// Flows per slot, in thousandths, as placement compares them. Larger for
-    /// cold upstreams and for those of other failure domains.
+    /// cold upstreams, for those of other failure domains, and for those that
+    /// are rated as slow.
     std::uint32_t load_permille = 0;
     /// Consecutive openings that it left unanswered.
     std::uint32_t unanswered = 0;
@@ -46,6 +50,8 @@
     std::optional<time_point> missing_since;
     /// End of slow start. Until then it gets part of its usual share of flows.
     std::optional<time_point> cold_until;
+    /// The rating in force.
+    std::optional<upstream_rating> rating{};
 };
 
 } // namespace cairnhead
--- a/services/cairnhead/answer_text.cpp
+++ b/services/cairnhead/answer_text.cpp
@@ -133,6 +133,8 @@
         return "evacuated";
     case shown_verdict::cold:
         return "cold";
+    case shown_verdict::ejected:
+        return "ejected";
     }
     return "unknown";
 }
--- a/services/cairnhead/explanation_text.cpp
+++ b/services/cairnhead/explanation_text.cpp
@@ -105,6 +105,16 @@
     return table;
 }
 
+nlohmann::json to_json(std::optional<rating_answer> const& rating)
+{
+    if (!rating)
+        return nullptr;
+    return {
+        {"relative_permille", rating->relative_permille},
+        {"short_permille", rating->short_permille},
+        {"work_permille", rating->work_permille}};
+}
+
 nlohmann::json to_json(belief_answer const& belief)
 {
     return {
@@ -114,7 +124,8 @@
         {"answered_ms_ago", number_or_null(belief.answered_ago)},
         {"silent_ms", number_or_null(belief.silent_for)},
         {"avoided_for_ms", number_or_null(belief.avoided_for)},
-        {"missing_ms", number_or_null(belief.missing_for)}};
+        {"missing_ms", number_or_null(belief.missing_for)},
+        {"rating", to_json(belief.rating)}};
 }
 
 } // namespace
@@ -172,6 +183,12 @@
             &text, text.empty() ? "" : ", ", belief.unanswered,
             " openings unanswered");
     append_length(text, "answered ", belief.answered_ago, " ms ago");
+    if (belief.rating)
+        absl::StrAppend(
+            &text, text.empty() ? "" : ", ", "answer time ",
+            format_load(belief.rating->relative_permille), " of usual, work ",
+            format_load(belief.rating->work_permille), " of slots, short ",
+            format_load(belief.rating->short_permille), " of answers");
     return text;
 }
 
--- a/tests/control/samples.hpp
+++ b/tests/control/samples.hpp
@@ -76,7 +76,8 @@
                    .answered_ago = std::chrono::milliseconds(0),
                    .silent_for = std::chrono::milliseconds(812),
                    .avoided_for = std::nullopt,
-                   .missing_for = std::chrono::milliseconds(90)}});
+                   .missing_for = std::chrono::milliseconds(90),
+                   .rating = rating_answer{5000, 300, 1250}}});
 }
 
 inline explain_question make_question()
@@ -105,7 +106,11 @@
              {.id = upstream_id(6),
               .name = "listings-2",
               .failure_domain = "",
-              .belief = std::nullopt}},
+              .belief = std::nullopt},
+             {.id = upstream_id(7),
+              .name = "listings-3",
+              .failure_domain = "perth",
+              .belief = belief_answer{.verdict = shown_verdict::ejected}}},
         .would_get = upstream_id(5),
         .documents = {
             {"registry/upstreams", document_version(61),
--- a/tests/observability/test_flow_metrics.cpp
+++ b/tests/observability/test_flow_metrics.cpp
@@ -72,6 +72,33 @@
         cr_expect(it.has_line(line), "%s", line.c_str());
 }
 
+// Guards against refusals of urgent openings that nobody sees, and against a
+// series for each number that the platform publishes as a priority.
+Test(flow_metrics, tell_refusals_by_priority_and_spilled_openings)
+{
+    fixture it;
+    auto refused = make_decision("listings", flow_step::refused);
+    it.flows.count(refused);
+    for (std::uint8_t const priority :
+         std::initializer_list<std::uint8_t>{0, 2, 2, 10, 255})
+    {
+        refused.priority = priority;
+        it.flows.count(refused);
+    }
+    auto spilled = make_decision("listings", flow_step::placed);
+    spilled.rule = flow_rule::spilled;
+    it.flows.count(spilled);
+    std::string const lines[] = {
+        R"(cairnhead_refused_openings_total{priority="none"} 1)",
+        R"(cairnhead_refused_openings_total{priority="0"} 1)",
+        R"(cairnhead_refused_openings_total{priority="2"} 2)",
+        R"(cairnhead_refused_openings_total{priority="other"} 2)",
+        R"(cairnhead_spilled_openings_total{service="listings"} 1)",
+    };
+    for (auto const& line : lines)
+        cr_expect(it.has_line(line), "%s", line.c_str());
+}
+
 Test(flow_metrics, services_without_end_share_a_label)
 {
     // Symptom: a scrape grows until the scraper gives up. Sequence: the
--- a/tests/observability/test_metrics.cpp
+++ b/tests/observability/test_metrics.cpp
@@ -113,7 +113,7 @@
         std::size_t(refusal_reason::leaving) + 1);
     cr_expect_eq(
         count_of_values<report_kind>(),
-        std::size_t(report_kind::domain_heard) + 1);
+        std::size_t(report_kind::spill_stopped) + 1);
 }
 
 Test(exposer, port_zero_serves_nothing)
--- a/tests/registry/test_registry.cpp
+++ b/tests/registry/test_registry.cpp
@@ -36,7 +36,10 @@
         .is_idempotent = number % 2 == 0,
         .pools = {{"first", 1}, {"second", number}},
         .changed_at = {},
-        .target_latency = std::chrono::milliseconds(number)};
+        .target_latency = std::chrono::milliseconds(number),
+        .priority = number % 3 == 0
+                        ? std::nullopt
+                        : std::optional(static_cast<std::uint8_t>(number))};
 }
 
 registered_upstream make_odd_upstream()
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -101,6 +101,7 @@
   idle_timeout: 16s
   cold_share_percent: 70
   maximum_flows: 1000
+  placement: answer_times
 )";
 
 std::vector<settings_error> errors_of(std::string_view text)
@@ -212,6 +213,7 @@
     cr_expect(tagging.avoidance_maximum == 9s);
     cr_expect(tagging.idle_timeout == 16s);
     cr_expect_eq(tagging.cold_share_percent, 70);
+    cr_expect(tagging.placement == placement_rule::answer_times);
     cr_expect_eq(tagging.maximum_flows, 1000);
 }
 
@@ -311,6 +313,9 @@
         {"percent: 70", "percent: 101", kind::out_of_range, 18, 23},
         {"1000", "0", kind::out_of_range, 19, 18},
         {"idle_timeout", "idle_time", kind::unknown_key, 17, 3},
+        {"answer_times", "answer_time", kind::out_of_range, 20, 14},
+        {"answer_times", "''", kind::out_of_range, 20, 15},
+        {"answer_times", "[flows]", kind::wrong_type, 20, 14},
     };
     expect_errors(tagged_settings, cases);
 }
--- a/tests/tagging/router_fixture.hpp
+++ b/tests/tagging/router_fixture.hpp
@@ -5,6 +5,7 @@
 #include <base/hash.hpp>
 
 #include <criterion/criterion.h>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -65,8 +66,12 @@
     }
 
     /// Lists the routes. `target`: their target latency; later answers are
-    /// late.
-    void list_routes(duration target, std::vector<pool_warmup> warmups = {})
+    /// late. `priority`: what they declare, the idempotent one a less urgent
+    /// one.
+    void list_routes(
+        duration target,
+        std::vector<pool_warmup> warmups = {},
+        std::optional<std::uint8_t> priority = {})
     {
         route_listing routes;
         routes.warmups = std::move(warmups);
@@ -84,7 +89,12 @@
         routes.routes.push_back(
             {address, other_port, flow_class::form, false, {{"other", 1}}});
         for (published_route& route : routes.routes)
+        {
             route.target_latency = target;
+            route.priority = priority;
+            if (priority && route.is_idempotent)
+                route.priority = static_cast<std::uint8_t>(*priority + 1);
+        }
         this->router.set_listings(
             this->now,
             {.routes = std::make_shared<route_listing const>(routes)});
--- a/tests/users_platform/test_store_items.cpp
+++ b/tests/users_platform/test_store_items.cpp
@@ -348,6 +348,39 @@
     }
 }
 
+// Symptom: a route whose priority is written in another way serves nobody.
+// Cause: the whole configuration is rejected for a field that routing does not
+// need.
+Test(store_items, a_route_keeps_serving_without_a_readable_priority)
+{
+    struct table_entry
+    {
+        char const* field;
+        std::optional<std::uint8_t> priority;
+    };
+    table_entry const table[] = {
+        {R"(,"priority":0)", 0},
+        {R"(,"priority":2)", 2},
+        {R"(,"priority":255)", 255},
+        {"", std::nullopt},
+        {R"(,"priority":256)", std::nullopt},
+        {R"(,"priority":-1)", std::nullopt},
+        {R"(,"priority":1.5)", std::nullopt},
+        {R"(,"priority":"1")", std::nullopt},
+        {R"(,"priority":null)", std::nullopt},
+        {R"(,"priority":[1])", std::nullopt},
+    };
+    for (auto const& [field, priority] : table)
+    {
+        auto const read = parse_configuration(
+            std::string(R"({"configVersion":1,"routes":[{"host":"198.18.0.2",)"
+                        R"("prefix":"/443/","service":"a")") +
+            field + "}]}");
+        cr_assert_eq(read.listing.routes.size(), 1, "%s", field);
+        cr_expect(read.listing.routes[0].priority == priority, "%s", field);
+    }
+}
+
 Test(store_items, refuses_bad_configurations)
 {
     std::string const good = make_configuration(12);
