--- a/libraries/control/control.capnp
+++ b/libraries/control/control.capnp
@@ -140,12 +140,20 @@
   silentFor @4 :Int64 = -1;
   avoidedFor @5 :Int64 = -1;
   missingFor @6 :Int64 = -1;
-  # Without a rating below zero.
-  ratedFor @7 :Int64 = -1;
-  relativePermille @8 :UInt16;
-  shortPermille @9 :UInt16;
-  workPermille @10 :UInt16;
-  isOutlier @11 :Bool;
+  # An ejected upstream has the verdict "avoided" besides, as earlier releases
+  # reject a verdict that they do not know.
+  isEjected @7 :Bool;
+  rating @8 :Rating;
+}
+
+struct Rating {
+  # In thousandths of what is usual, of the answers, and of the slots.
+  relativePermille @0 :UInt16;
+  shortPermille @1 :UInt16;
+  workPermille @2 :UInt16;
+  isEjected @3 :Bool;
+  # Milliseconds.
+  inForceFor @4 :Int64;
 }
 
 struct Explanation {
--- a/libraries/event/effect.hpp
+++ b/libraries/event/effect.hpp
@@ -250,6 +250,9 @@
     /// refuses, unlike others of its pool, or does so no more.
     upstream_outlier_ejected,
     upstream_outlier_restored,
+    /// A share of a pool's openings goes to other failure domains, or no more.
+    spill_started,
+    spill_stopped,
 };
 
 /// A belief's input: what it is, and what it was.
--- a/libraries/runtime/answer_builder.cpp
+++ b/libraries/runtime/answer_builder.cpp
@@ -136,6 +136,8 @@
         return shown_verdict::evacuated;
     case upstream_verdict::cold:
         return shown_verdict::cold;
+    case upstream_verdict::ejected:
+        return shown_verdict::ejected;
     }
     return shown_verdict::gone;
 }
--- a/libraries/tagging/upstream_view.hpp
+++ b/libraries/tagging/upstream_view.hpp
@@ -30,6 +30,8 @@
     evacuated,
     /// It is in slow start, and this VM may send it no more openings for now.
     cold,
+    /// Its answers are errors, by its rating.
+    ejected,
 };
 
 /// The state of an upstream as one VM sees it, with the evidence.
@@ -37,7 +39,8 @@
 {
     upstream_verdict verdict = upstream_verdict::ready;
     /// Flows per slot, in thousandths, as placement compares them. Larger for
-    /// cold upstreams and for those of other failure domains.
+    /// cold upstreams, for those of other failure domains, and for those that
+    /// are rated as slow.
     std::uint32_t load_permille = 0;
     /// Consecutive openings that it left unanswered.
     std::uint32_t unanswered = 0;
--- a/services/cairnhead/explanation_text.cpp
+++ b/services/cairnhead/explanation_text.cpp
@@ -184,6 +184,13 @@
             &text, text.empty() ? "" : ", ", belief.unanswered,
             " openings unanswered");
     append_length(text, "answered ", belief.answered_ago, " ms ago");
+    if (belief.rating)
+        absl::StrAppend(
+            &text, text.empty() ? "" : ", ", "answer time ",
+            format_permille(belief.rating->relative_permille),
+            " of usual, work ", format_permille(belief.rating->work_permille),
+            " of slots, short ", format_permille(belief.rating->short_permille),
+            " of answers");
     return text;
 }
 
--- a/tests/control/samples.hpp
+++ b/tests/control/samples.hpp
@@ -111,7 +111,11 @@
              {.id = upstream_id(6),
               .name = "listings-2",
               .failure_domain = "",
-              .belief = std::nullopt}},
+              .belief = std::nullopt},
+             {.id = upstream_id(7),
+              .name = "listings-3",
+              .failure_domain = "perth",
+              .belief = belief_answer{.verdict = shown_verdict::ejected}}},
         .would_get = upstream_id(5),
         .documents = {
             {"registry/upstreams", document_version(61),
--- a/tests/observability/test_metrics.cpp
+++ b/tests/observability/test_metrics.cpp
@@ -114,6 +114,7 @@
     cr_expect_eq(
         count_of_values<report_kind>(),
         std::size_t(report_kind::upstream_outlier_restored) + 1);
+        std::size_t(report_kind::spill_stopped) + 1);
 }
 
 Test(exposer, port_zero_serves_nothing)
