Tagging: Test requests of flows that carry one, and repeated ones

Cause: no test showed that such requests are observed. Ruled out: none. Change: two tests and a method of their fixture.

--- a/tests/tagging/router_fixture.hpp
+++ b/tests/tagging/router_fixture.hpp
@@ -166,6 +166,16 @@
         this->next_progress = {};
     }
 
+    /// Routes the caller's FIN, which acknowledges an answer.
+    void
+    close(std::uint64_t flow, std::uint64_t tag, std::uint32_t acknowledged)
+    {
+        this->next_progress = {101, acknowledged, false};
+        this->pass(
+            flow, packet_phase::closing, static_cast<std::uint32_t>(tag));
+        this->next_progress = {};
+    }
+
     /// Lets `longest` pass, and calls `advance` at each deadline of the router.
     void advance(duration longest)
     {
--- a/tests/tagging/test_request_observations.cpp
+++ b/tests/tagging/test_request_observations.cpp
@@ -192,3 +192,43 @@
             left, upstream_tag(1), &request_observation::upstream),
         0);
 }
+
+// Symptom: nobody sees that an upstream is stuck which serves long flows alone.
+// Cause: answers of one packet are acknowledged with the next request, so that
+// silence tells nothing there; but the caller repeats an unanswered request.
+Test(request_observations, a_repeated_request_was_not_answered)
+{
+    rating_vm vm;
+    for (int round = 0; round < 30; ++round)
+    {
+        vm.request(1);
+        vm.fixture.now += 3s;
+        vm.acknowledged[0] += 2'000;
+    }
+    vm.request(1);
+    (void)vm.take();
+    vm.fixture.wait(200ms);
+    cr_expect(vm.take().empty());
+    vm.fixture.request_with_acknowledgement(
+        vm.flow(1), 1, vm.sequence, vm.acknowledged[0]);
+    std::vector const expected{observation(1, request_outcome::unanswered, 5)};
+    cr_expect(vm.take() == expected);
+}
+
+// Guards against requests of flows that carry one each being lost: only the FIN
+// tells that they were answered.
+Test(request_observations, the_fin_of_a_flow_tells_of_its_only_request)
+{
+    router_fixture vm({make_upstream(1)}, rating_settings());
+    for (std::uint64_t flow = 1; flow <= 21; ++flow)
+    {
+        vm.establish(flow);
+        vm.acknowledge(flow, 1, 500);
+        vm.request(flow, 1);
+        vm.now += flow <= 20 ? usual : 2 * usual;
+        vm.close(flow, 1, 2'500);
+    }
+    auto const seen = vm.router.take_observations();
+    cr_assert_eq(seen.size(), 21);
+    cr_expect(seen.back() == observation(1, request_outcome::answered, 2));
+}
