--- a/libraries/rating/rating_collector.hpp
+++ b/libraries/rating/rating_collector.hpp
@@ -7,11 +7,12 @@
 #include <rating/upstream_statistics.hpp>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/functional/function_ref.h>
 #include <cstddef>
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cairnhead
