--- a/libraries/tagging/priority_admission.cpp
+++ b/libraries/tagging/priority_admission.cpp
@@ -1,7 +1,6 @@
 #include <tagging/priority_admission.hpp>
 
 #include <algorithm>
-#include <ranges>
 
 namespace cairnhead
 {
@@ -41,7 +40,7 @@
     // Above the largest share, refusing less would let the load as a whole
     // rise, so all priorities are refused alike.
     double const limit = std::max(share, largest_share);
-    for (auto const& [each, count] : std::views::reverse(this->openings))
+    for (auto const& [each, count] : this->openings)
     {
         if (each == priority)
             break;
--- a/libraries/tagging/priority_admission.hpp
+++ b/libraries/tagging/priority_admission.hpp
@@ -4,6 +4,7 @@
 #include <rating/decayed_sum.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 
 namespace cairnhead
@@ -35,7 +36,8 @@
     refusal_share(time_point now, std::uint8_t priority, double share) const;
 
 private:
-    std::map<std::uint8_t, decayed_sum> openings;
+    /// The least urgent priority first.
+    std::map<std::uint8_t, decayed_sum, std::greater<>> openings;
 };
 
 } // namespace cairnhead
--- a/libraries/tagging/tagged_upstreams.hpp
+++ b/libraries/tagging/tagged_upstreams.hpp
@@ -271,8 +271,10 @@
         opening_kind const& kind,
         std::span<tagged_upstream* const> ready,
         upstream_choice& choice);
-    [[nodiscard]] placement_candidate
-    rate(time_point now, tagged_upstream const& upstream) const;
+    [[nodiscard]] placement_candidate rate(
+        time_point now,
+        tagged_upstream const& upstream,
+        flow_length length) const;
     [[nodiscard]] double
     slots_of(time_point now, tagged_upstream const& upstream) const;
     [[nodiscard]] upstream_view view_of(
--- a/libraries/tagging/tagged_upstreams_rated.cpp
+++ b/libraries/tagging/tagged_upstreams_rated.cpp
@@ -34,6 +34,8 @@
 std::vector<upstream_tag> tagged_upstreams::ejected_of(
     time_point now, std::span<std::size_t const> members) const
 {
+    if (this->ratings == nullptr || this->ratings->size() == 0)
+        return {};
     std::map<failure_domain_id, std::vector<upstream_rating>> rated_ejected;
     for (std::size_t const index : members)
     {
@@ -71,15 +73,19 @@
     return is_ejected ? upstream_verdict::ejected : verdict;
 }
 
-placement_candidate
-tagged_upstreams::rate(time_point now, tagged_upstream const& upstream) const
+placement_candidate tagged_upstreams::rate(
+    time_point now, tagged_upstream const& upstream, flow_length length) const
 {
-    return {
-        .domain = upstream.domain,
-        .rating = this->rating_of(now, upstream),
-        .slots = this->slots_of(now, upstream),
-        .own_openings = upstream.openings_since_rating.at(now),
-        .flow_load = this->load_of(now, upstream)};
+    // Thousands are rated for one choice, so only what it compares is computed.
+    placement_candidate rated;
+    rated.domain = upstream.domain;
+    rated.rating = this->rating_of(now, upstream);
+    rated.slots = this->slots_of(now, upstream);
+    if (length == flow_length::few_requests)
+        rated.own_openings = upstream.openings_since_rating.at(now);
+    else
+        rated.flow_load = this->load_of(now, upstream);
+    return rated;
 }
 
 void tagged_upstreams::choose_by_ratings(
@@ -88,6 +94,8 @@
     std::span<tagged_upstream* const> ready,
     upstream_choice& choice)
 {
+    if (kind.spill_to.empty() && this->ratings->size() == 0)
+        return;
     std::vector<tagged_upstream*> considered;
     for (tagged_upstream* const upstream : ready)
     {
@@ -113,7 +121,7 @@
     std::vector<placement_candidate> rated;
     rated.reserve(considered.size());
     for (tagged_upstream const* const upstream : considered)
-        rated.push_back(this->rate(now, *upstream));
+        rated.push_back(this->rate(now, *upstream, kind.length));
     bool const has_rating = std::ranges::any_of(
         rated,
         [](placement_candidate const& each)
--- a/tests/observability/test_metrics.cpp
+++ b/tests/observability/test_metrics.cpp
@@ -113,7 +113,6 @@
         std::size_t(refusal_reason::leaving) + 1);
     cr_expect_eq(
         count_of_values<report_kind>(),
-        std::size_t(report_kind::upstream_outlier_restored) + 1);
         std::size_t(report_kind::spill_stopped) + 1);
 }
 
