Emulator: Play hard load, and measure placement against a bound

Cause: Demand that exceeds the upstreams' capacity, or is spread unevenly over them, was not to be had without a whole deployment. The emulator's upstreams had queues without a bound and never failed a request, and its callers waited for each answer before they sent the next request, so that load never exceeded what was served. Ruled out: A simulator of queues alone: the VMs' own decisions are what is compared. A bound that only places openings: it can be beaten, as a flow's later requests follow its first one. Change: Upstreams have a queue bound with a short refusal, and may answer errors at once. Requests arrive at a rate for each route and failure domain, the same ones for each way of placing them. Callers of long flows keep them; others have a flow for each request; all try again twice, and those that must run once only if they did not run. A single last packet of an answer is acknowledged by what the caller sends next. Routes have target latencies, and pools unequal sizes.

The route's priority is published once `published_route::priority` exists.

--- a/emulator/emulated_fleet.cpp
+++ b/emulator/emulated_fleet.cpp
@@ -146,6 +146,7 @@
         this->where.vm(vm),
         make_failure_domain_id(layout::domain_name(this->where.domain_of(vm)))};
     settings.memory = flow_memory::tags;
+    settings.tagging.placement = this->where.shape().placement;
     settings.membership.scope = member_scope::failure_domain;
     // As deploy/ sets them.
     settings.versions.join_timeout = 1s;
--- a/emulator/emulated_traffic.cpp
+++ b/emulator/emulated_traffic.cpp
@@ -11,7 +11,6 @@
 
 using std::chrono_literals::operator""ms;
 using std::chrono_literals::operator""s;
-using std::chrono_literals::operator""us;
 
 /// RFC 6298 lets callers repeat a packet after no less; then it doubles.
 constexpr duration first_repetition = 200ms;
@@ -19,9 +18,6 @@
 /// Callers give a request up after this.
 constexpr duration patience = 5s;
 
-/// One way between callers and upstreams.
-constexpr duration way = 300us;
-
 /// How long a check waits, as the product's does.
 constexpr duration check_time = 250ms;
 
@@ -34,28 +30,44 @@
 
 } // namespace
 
+ipv4_address caller_address(std::size_t number)
+{
+    return ipv4_address(
+        first_caller_address + static_cast<std::uint32_t>(number));
+}
+
 emulated_traffic::emulated_traffic(
     emulated_fleet& around, traffic_shape const& chosen, std::uint64_t seed)
     : fleet(around), shape(chosen), random(seed),
       farm(
           around,
           this->counted,
-          chosen.service_time,
+          chosen.upstreams,
           seed + 1,
           [this](upstream_packet const& packet, std::uint32_t domain)
           {
               this->answer_from(packet, domain);
           }),
       fabric(around, chosen.fabric, seed + 2, this->make_ends()),
-      callers(chosen.callers), cut_at(around.place().shape().failure_domains)
+      callers(chosen.callers), counted_load(this->shape.load),
+      arriving(
+          around.schedule(),
+          this->shape.load,
+          seed + 3,
+          [this](std::size_t route, std::uint32_t domain, duration work)
+          {
+              this->take_request(route, domain, work);
+          }),
+      resting(chosen.load.routes.size() * chosen.load.domain_weights.size()),
+      cut_at(around.place().shape().failure_domains)
 {
     auto const domains = around.place().shape().failure_domains;
     for (std::size_t number = 0; number < this->callers.size(); ++number)
     {
         caller& made = this->callers[number];
+        made.number = number;
         made.domain = static_cast<std::uint32_t>(number) % domains;
-        made.source.address = ipv4_address(
-            first_caller_address + static_cast<std::uint32_t>(number));
+        made.source.address = caller_address(number);
     }
 }
 
@@ -68,12 +80,21 @@
     {
         auto const* const reached = this->farm.find(instance);
         caller const* const sender = this->caller_of(packet.flow);
-        bool const is_there = reached != nullptr && sender != nullptr &&
-                              this->fleet.are_connected(
-                                  this->fleet.place().domain_of(vm),
-                                  this->farm.domain_of(*reached));
-        if (is_there)
-            this->farm.receive(instance, packet, sender->route);
+        if (reached == nullptr || sender == nullptr)
+            return;
+        auto const near = this->fleet.place().domain_of(vm);
+        auto const there = this->farm.domain_of(*reached);
+        if (!this->fleet.are_connected(near, there))
+            return;
+        duration const extra = this->shape.fabric.extra_between_domains;
+        if (near == there || extra == duration())
+            return this->farm.receive(instance, packet, sender->route);
+        this->fleet.schedule().add(
+            this->fleet.now() + extra,
+            [this, instance, packet, route = sender->route]
+            {
+                this->farm.receive(instance, packet, route);
+            });
     };
     ends.refuse = [this](flow_number flow)
     {
@@ -102,6 +123,7 @@
         this->schedule(
             each, std::chrono::milliseconds(this->random() % 1'000),
             &emulated_traffic::open);
+    this->arriving.begin();
 }
 
 void emulated_traffic::note_cut(std::uint32_t domain)
@@ -141,12 +163,14 @@
 {
     this->by_flow.erase(who.flow);
     who.flow = flow_number(++this->last_flow);
-    this->by_flow[who.flow] =
-        static_cast<std::size_t>(&who - this->callers.data());
+    this->by_flow[who.flow] = who.number;
     who.source.port =
         static_cast<std::uint16_t>(first_port + this->last_flow % ports);
     auto const& routes = this->fleet.registry().routes_now().routes;
-    who.route = routes[this->random() % routes.size()];
+    if (who.load)
+        this->begin_loaded_flow(who);
+    else
+        who.route = routes[this->random() % routes.size()];
     who.state = caller_state::opening;
     who.tag = upstream_tag();
     who.served_by.reset();
@@ -154,6 +178,10 @@
     who.acknowledged = 0;
     who.request = 0;
     who.wanted_at = this->fleet.now();
+    bool const is_refused = this->shape.load.placer != request_placer::vms &&
+                            !this->place_with_knowledge(who);
+    if (is_refused)
+        return this->fail(who, request_end::refused);
     this->await(who);
     this->send(who, packet_phase::opening, false);
 }
@@ -168,7 +196,10 @@
 
 void emulated_traffic::repeat(caller& who)
 {
-    if (this->fleet.now() >= who.wanted_at + patience)
+    duration const bound = who.state == caller_state::opening
+                               ? this->shape.opening_patience
+                               : patience;
+    if (this->fleet.now() >= who.wanted_at + bound)
     {
         this->check_timeout(who);
         return this->fail(who, request_end::timed_out);
@@ -190,6 +221,13 @@
     packet.tag = who.tag;
     packet.request = who.request;
     packet.progress = {who.sequence, who.acknowledged, has_data};
+    if (who.load)
+    {
+        packet.work = who.work;
+        packet.answer_length = this->load_of(who).answer_length;
+    }
+    if (this->shape.load.placer != request_placer::vms)
+        return this->send_directly(who, packet);
     this->fabric.send(
         {who.domain,
          who.source,
@@ -216,6 +254,8 @@
 
 void emulated_traffic::fail(caller& who, request_end how)
 {
+    if (who.load)
+        return this->end_try(who, how);
     this->counted.note_end(how, this->fleet.now() - who.wanted_at);
     ++who.step;
     who.state = caller_state::pausing;
@@ -290,6 +330,8 @@
     // It came again: its acknowledgement was lost.
     if (!is_awaited)
         return this->send(who, packet_phase::ongoing, false);
+    if (who.load)
+        return this->take_loaded_answer(who, packet);
     this->counted.note_end(
         request_end::answered, this->fleet.now() - who.wanted_at);
     who.sequence += request_bytes;
@@ -306,13 +348,20 @@
 {
     if (who.state == caller_state::opening)
         return this->fail(who, request_end::refused);
-    bool const is_between_flows = who.state == caller_state::pausing &&
-                                  who.request >= this->shape.requests_per_flow;
+    bool const is_between_flows =
+        who.state == caller_state::pausing &&
+        (who.load ? !who.has_flow
+                  : who.request >= this->shape.requests_per_flow);
     if (is_between_flows)
         return;
     this->check_reset(who);
     if (who.state == caller_state::waiting)
         return this->fail(who, request_end::reset);
+    if (who.load)
+    {
+        who.has_flow = false;
+        return;
+    }
     ++who.step;
     this->schedule(who, this->shape.pause, &emulated_traffic::open);
 }
--- a/emulator/emulated_upstream.cpp
+++ b/emulator/emulated_upstream.cpp
@@ -16,15 +16,18 @@
 constexpr duration longest_repetition = 1600ms;
 constexpr int most_repetitions = 8;
 
+/// Bytes of an answer that tells of a full queue or of an error.
+constexpr std::uint32_t refusal_bytes = 60;
+constexpr std::uint32_t error_bytes = 120;
+
 } // namespace
 
 emulated_upstream::emulated_upstream(
     registered_upstream const& chosen,
-    duration service_time,
+    upstream_shape const& behavior,
     agenda& schedule,
     upstream_effects effects)
-    : self(chosen), time_for_request(service_time), time(schedule),
-      act(std::move(effects))
+    : self(chosen), shape(behavior), time(schedule), act(std::move(effects))
 {
 }
 
@@ -114,22 +117,35 @@
     this->send(packet, answer_kind::acknowledged, known.next_sequence);
     if (!known.requests.insert(packet.request).second)
         return;
-    this->waiting.push_back({packet.flow, packet.request});
+    if (!this->expected.empty())
+        this->expected.pop_front();
+    duration const length =
+        packet.work == duration() ? this->shape.service_time : packet.work;
+    work const taken{packet.flow, packet.request, length, packet.answer_length};
+    if (this->fails_requests)
+        return this->answer(taken, answer_status::failed, error_bytes);
+    bool const is_full = this->shape.queue_bound &&
+                         this->running.size() >= this->self.slots &&
+                         this->waiting.size() >= *this->shape.queue_bound;
+    if (is_full)
+        return this->answer(taken, answer_status::overflowed, refusal_bytes);
+    this->waiting.push_back(taken);
     this->start_work();
 }
 
 void emulated_upstream::start_work()
 {
-    while (this->busy_slots < this->self.slots && !this->waiting.empty())
+    while (this->running.size() < this->self.slots && !this->waiting.empty())
     {
-        work const next = this->waiting.front();
+        work next = this->waiting.front();
         this->waiting.pop_front();
-        ++this->busy_slots;
+        next.ends_at = this->time.now() +
+                       next.length * static_cast<std::int64_t>(this->factor);
+        this->running.push_back(next.ends_at);
         ++this->run_count;
         this->act.run(next.flow, next.request);
         this->time.add(
-            this->time.now() +
-                this->time_for_request * static_cast<int>(this->factor),
+            next.ends_at,
             [this, next]
             {
                 this->finish(next);
@@ -139,20 +155,67 @@
 
 void emulated_upstream::finish(work const& done)
 {
-    --this->busy_slots;
+    this->running.erase(std::ranges::find(this->running, done.ends_at));
+    this->answer(done, answer_status::served, done.answer_length);
+    this->start_work();
+}
+
+void emulated_upstream::answer(
+    work const& done, answer_status status, std::uint32_t answer_length)
+{
     auto const known = this->connections.find(done.flow);
     bool const is_wanted = known != this->connections.end() &&
                            this->state == upstream_life::serving;
-    if (is_wanted)
+    if (!is_wanted)
+        return;
+    upstream_packet const packet{
+        done.flow,
+        this->self.instance,
+        answer_kind::answered,
+        known->second.next_sequence,
+        done.request,
+        known->second.tag,
+        status,
+        answer_length};
+    known->second.next_sequence += answer_length;
+    if (this->shape.repeats_answers)
+        this->send_until_acknowledged(packet, answer_length, 0);
+    else
+        this->act.send(packet);
+}
+
+void emulated_upstream::expect(duration length)
+{
+    this->expected.push_back(length);
+}
+
+std::optional<time_point> emulated_upstream::predict_end(duration length) const
+{
+    bool const is_full = this->shape.queue_bound &&
+                         this->waiting.size() + this->expected.size() >=
+                             *this->shape.queue_bound;
+    if (is_full)
+        return std::nullopt;
+    // When each slot is free, the earliest first.
+    auto const later = std::greater<>();
+    std::vector<time_point> slots(this->running);
+    slots.resize(
+        std::max<std::size_t>(slots.size(), this->self.slots),
+        this->time.now());
+    std::ranges::make_heap(slots, later);
+    auto const add = [&](duration next)
     {
-        auto const sequence = known->second.next_sequence;
-        known->second.next_sequence += answer_bytes;
-        this->send_until_acknowledged(
-            {done.flow, this->self.instance, answer_kind::answered, sequence,
-             done.request, known->second.tag},
-            answer_bytes, 0);
-    }
-    this->start_work();
+        std::ranges::pop_heap(slots, later);
+        slots.back() += next * static_cast<std::int64_t>(this->factor);
+        time_point const end = slots.back();
+        std::ranges::push_heap(slots, later);
+        return end;
+    };
+    for (auto const& each : this->waiting)
+        add(each.length);
+    for (duration const each : this->expected)
+        add(each);
+    return add(length);
 }
 
 void emulated_upstream::send(
@@ -189,6 +252,16 @@
     this->factor = chosen;
 }
 
+void emulated_upstream::set_failing(bool is_so)
+{
+    this->fails_requests = is_so;
+}
+
+bool emulated_upstream::is_failing() const
+{
+    return this->fails_requests;
+}
+
 void emulated_upstream::drain(time_point now)
 {
     this->drained_at = now;
--- a/emulator/packet_fabric.hpp
+++ b/emulator/packet_fabric.hpp
@@ -38,6 +38,9 @@
     flow_spread spread = flow_spread::steady;
     std::uint32_t lost_permille = 0;
     std::uint32_t doubled_permille = 0;
+    /// From a VM to an upstream of another failure domain, beyond what the way
+    /// within a domain takes.
+    duration extra_between_domains{};
 };
 
 /// Hands callers' packets to VMs, and carries out what the VMs decide about
--- a/emulator/registry_store.cpp
+++ b/emulator/registry_store.cpp
@@ -23,6 +23,18 @@
     return "pool-" + std::to_string(number);
 }
 
+/// The pool of the nth upstream.
+std::uint32_t pool_of(topology const& shape, std::uint32_t number)
+{
+    if (shape.pool_sizes.empty())
+        return number % shape.addresses;
+    std::uint32_t pool = 0;
+    std::uint32_t end = shape.pool_sizes.front();
+    while (number >= end)
+        end += shape.pool_sizes.at(++pool);
+    return pool;
+}
+
 template <typename Listing>
 std::shared_ptr<std::string const> encode_shared(Listing const& listing)
 {
@@ -57,14 +69,23 @@
     registered.complete_since = this->latest;
     this->upstreams = {this->latest, std::move(registered)};
     route_listing published;
-    for (std::uint32_t number = 0; number < shape.addresses; ++number)
+    std::uint32_t const addresses =
+        shape.services.empty()
+            ? shape.addresses
+            : static_cast<std::uint32_t>(shape.services.size());
+    for (std::uint32_t number = 0; number < addresses; ++number)
+    {
+        auto const service = shape.services.empty() ? service_shape{number}
+                                                    : shape.services[number];
         published.routes.push_back(
             {.address = ipv4_address(first_route_address + number),
              .port = route_port,
              .traffic = flow_class::form,
-             .is_idempotent = false,
-             .pools = {{pool_name(number), 1}},
-             .changed_at = this->latest});
+             .is_idempotent = service.is_idempotent,
+             .pools = {{pool_name(service.pool), 1}},
+             .changed_at = this->latest,
+             .target_latency = service.target_latency});
+    }
     published.complete_since = this->latest;
     this->routes = {this->latest, std::move(published)};
     this->evacuations = {this->latest, {}};
@@ -81,7 +102,7 @@
         .is_draining = false,
         .slots = 2,
         .cold_milliseconds = 2'000,
-        .pool = pool_name(number % this->place.shape().addresses),
+        .pool = pool_name(pool_of(this->place.shape(), number)),
         .failure_domain = layout::domain_name(domain),
         .changed_at = this->latest};
 }
--- a/emulator/topology.hpp
+++ b/emulator/topology.hpp
@@ -2,6 +2,7 @@
 
 #include <base/identifiers.hpp>
 #include <base/time.hpp>
+#include <event/settings.hpp>
 
 #include <cstdint>
 #include <string>
@@ -10,6 +11,17 @@
 namespace cairnhead::emulator
 {
 
+/// One service, behind an address of its own.
+struct service_shape
+{
+    /// Its number in `topology::pool_sizes`.
+    std::uint32_t pool = 0;
+    bool is_idempotent = false;
+    duration target_latency{};
+    /// Zero is the most urgent.
+    std::uint32_t priority = 0;
+};
+
 /// How a fleet is laid out. VMs, upstreams and failure domains are shared out
 /// evenly.
 struct topology
@@ -28,6 +40,11 @@
     std::uint32_t link_megabits = 100;
     /// Of the datagrams between VMs.
     std::uint32_t lost_permille = 0;
+    /// Services and pools of unequal sizes, in place of `addresses` equal ones.
+    std::vector<service_shape> services{};
+    /// The sum is the number of upstreams.
+    std::vector<std::uint32_t> pool_sizes{};
+    placement_rule placement = placement_rule::flows;
 };
 
 /// Where the nth VM, upstream or domain of a topology stands.
--- a/emulator/traffic_meter.hpp
+++ b/emulator/traffic_meter.hpp
@@ -39,9 +39,13 @@
     refused,
     reset,
     timed_out,
+    /// By an error.
+    failed,
+    /// The upstream's queue was full.
+    overflowed,
 };
 
-inline constexpr std::size_t request_ends = 4;
+inline constexpr std::size_t request_ends = 6;
 
 /// Counts what callers and upstreams see.
 /// Thread safety of all methods: none.
--- a/emulator/upstream_farm.cpp
+++ b/emulator/upstream_farm.cpp
@@ -36,11 +36,11 @@
 upstream_farm::upstream_farm(
     emulated_fleet& around,
     traffic_meter& counting,
-    duration service_time,
+    upstream_shape const& behavior,
     std::uint64_t seed,
     send_answer send)
-    : fleet(around), counted(counting), time_for_request(service_time),
-      random(seed), answer(std::move(send))
+    : fleet(around), counted(counting), shape(behavior), random(seed),
+      answer(std::move(send))
 {
     std::uint32_t const count = this->fleet.place().shape().failure_domains;
     for (std::uint32_t domain = 0; domain < count; ++domain)
@@ -66,8 +66,7 @@
     };
     this->started_at[instance] = this->fleet.now();
     this->upstreams[instance] = std::make_unique<emulated_upstream>(
-        registered, this->time_for_request, this->fleet.schedule(),
-        std::move(effects));
+        registered, this->shape, this->fleet.schedule(), std::move(effects));
 }
 
 void upstream_farm::receive(
@@ -180,13 +179,15 @@
 }
 
 void upstream_farm::kill(
-    std::vector<instance_number> const& dying, upstream_life how)
+    std::vector<instance_number> const& dying,
+    upstream_life how,
+    duration outage)
 {
     for (instance_number const instance : dying)
         this->upstreams.at(instance)->set_life(how);
     this->fleet.schedule().add(
         this->fleet.now() + lease,
-        [this, dying]
+        [this, dying, outage]
         {
             for (instance_number const instance : dying)
             {
@@ -195,12 +196,71 @@
                     [&](registry_store& store)
                     {
                         store.remove({&instance, 1});
-                        this->start(store.start_upstream(like, false));
+                        if (outage <= lease)
+                            this->start(store.start_upstream(like, false));
                     });
+                if (outage > lease)
+                    this->start_later(like, outage - lease);
             }
         });
 }
 
+void upstream_farm::start_later(registered_upstream const& like, duration delay)
+{
+    this->fleet.schedule().add(
+        this->fleet.now() + delay,
+        [this, like]
+        {
+            this->fleet.publish(
+                [&](registry_store& store)
+                {
+                    this->start(store.start_upstream(like, false));
+                });
+        });
+}
+
+void upstream_farm::fail(
+    std::vector<instance_number> const& failing, duration length)
+{
+    this->change_for(
+        failing, length,
+        [](emulated_upstream& each, bool is_begin)
+        {
+            each.set_failing(is_begin);
+        });
+}
+
+std::optional<quickest_upstream> upstream_farm::find_quickest(
+    published_route const& route,
+    duration work,
+    std::uint32_t domain,
+    duration extra_between_domains) const
+{
+    std::optional<quickest_upstream> best;
+    for (auto const& [instance, each] : this->upstreams)
+    {
+        bool const is_whole = each->life() == upstream_life::serving &&
+                              !each->is_failing() && !each->draining_since() &&
+                              serves(route, each->registered().pool);
+        if (!is_whole)
+            continue;
+        auto const end = each->predict_end(work);
+        if (!end)
+            continue;
+        bool const is_near = this->domain_of(*each) == domain;
+        quickest_upstream const found{
+            *end + (is_near ? duration() : extra_between_domains), instance};
+        if (!best || found < *best)
+            best = found;
+    }
+    return best;
+}
+
+void upstream_farm::expect(instance_number instance, duration work)
+{
+    this->upstreams.at(instance)->expect(work);
+}
+
 void upstream_farm::stall_all(duration length)
 {
     for (auto const& [instance, each] : this->upstreams)
@@ -212,21 +272,34 @@
     std::uint32_t factor,
     duration length)
 {
-    auto const set = [this, slow](std::uint32_t to)
+    this->change_for(
+        slow, length,
+        [factor](emulated_upstream& each, bool is_begin)
+        {
+            each.set_slowness(is_begin ? factor : 1);
+        });
+}
+
+void upstream_farm::change_for(
+    std::vector<instance_number> const& changed,
+    duration length,
+    std::function<void(emulated_upstream&, bool is_begin)> const& change)
+{
+    auto const apply = [this, changed, change](bool is_begin)
     {
-        for (instance_number const instance : slow)
+        for (instance_number const instance : changed)
         {
             auto const known = this->upstreams.find(instance);
             if (known != this->upstreams.end())
-                known->second->set_slowness(to);
+                change(*known->second, is_begin);
         }
     };
-    set(factor);
+    apply(true);
     this->fleet.schedule().add(
         this->fleet.now() + length,
-        [set]
+        [apply]
         {
-            set(1);
+            apply(false);
         });
 }
 
--- a/emulator/upstream_farm.hpp
+++ b/emulator/upstream_farm.hpp
@@ -6,7 +6,9 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <vector>
@@ -14,6 +16,15 @@
 namespace cairnhead::emulator
 {
 
+/// An upstream, and when it would answer.
+struct quickest_upstream
+{
+    time_point answers_at;
+    instance_number instance;
+
+    auto operator<=>(quickest_upstream const&) const = default;
+};
+
 /// All upstreams of a fleet's registry: they start, drain, die and are
 /// replaced, and the registry learns of it as it would.
 /// Thread safety of all methods: none.
@@ -27,7 +38,7 @@
     upstream_farm(
         emulated_fleet& around,
         traffic_meter& counting,
-        duration service_time,
+        upstream_shape const& behavior,
         std::uint64_t seed,
         send_answer send);
 
@@ -50,8 +61,12 @@
         bool is_address_used_again);
 
     /// Upstreams die; the registry drops them when their leases are over, and
-    /// others take their places. No precondition.
-    void kill(std::vector<instance_number> const& dying, upstream_life how);
+    /// others take their places, then or after the outage if that is longer.
+    /// No precondition.
+    void kill(
+        std::vector<instance_number> const& dying,
+        upstream_life how,
+        duration outage = {});
 
     /// All upstreams stand still for a while, as behind a switch that does. No
     /// precondition.
@@ -63,6 +78,23 @@
         std::uint32_t factor,
         duration length);
 
+    /// Upstreams answer all requests with errors for a while, at once. No
+    /// precondition.
+    void fail(std::vector<instance_number> const& failing, duration length);
+
+    /// The upstream that would answer the route's request first, as one who
+    /// sees all queues knows. Those of other failure domains are so much
+    /// further away. No precondition.
+    [[nodiscard]] std::optional<quickest_upstream> find_quickest(
+        published_route const& route,
+        duration work,
+        std::uint32_t domain,
+        duration extra_between_domains) const;
+
+    /// A request that `find_quickest` placed is on its way. Precondition: the
+    /// upstream exists.
+    void expect(instance_number instance, duration work);
+
     /// No precondition.
     [[nodiscard]] emulated_upstream const* find(instance_number instance) const;
     [[nodiscard]] emulated_upstream const*
@@ -88,6 +120,11 @@
     };
 
     void start(registered_upstream const& registered);
+    void start_later(registered_upstream const& like, duration delay);
+    void change_for(
+        std::vector<instance_number> const& changed,
+        duration length,
+        std::function<void(emulated_upstream&, bool is_begin)> const& change);
     void end_drained();
     void note_run(instance_number at, flow_number flow, std::uint32_t request);
     void check_opening(
@@ -97,7 +134,7 @@
 
     emulated_fleet& fleet;
     traffic_meter& counted;
-    duration time_for_request;
+    upstream_shape shape;
     std::mt19937_64 random;
     send_answer answer;
     absl::flat_hash_map<instance_number, std::unique_ptr<emulated_upstream>>
--- a/soak/soak_upstreams.cpp
+++ b/soak/soak_upstreams.cpp
@@ -125,7 +125,8 @@
             name_of_instance(self.serving->registered().instance));
     };
     added.serving = std::make_unique<emulator::emulated_upstream>(
-        self, service_time, this->with.time, std::move(effects));
+        self, emulator::upstream_shape{service_time}, this->with.time,
+        std::move(effects));
     socket_address const own{self.address, self.port};
     added.socket.emplace(own);
     added.listener = listen_at(own);
