Soak: Slow many upstreams at once, and let some answer errors

Cause: The soak had one slow upstream at a time, and none that answers errors at once, which looks idle to whoever counts open flows. Ruled out: The new faults for all seeds, as each seed's faults are drawn by how many kinds there are, and seeds that failed are kept. Change: Faults `slow_upstreams` (a third) and `failing_upstreams` (a quarter) from seed 100,000 on. An error is a request's end of its own kind. `all_kinds_of_faults_are_drawn_and_some_overlap` draws from the new range; that seeds from 1,000 on have 24 kinds and their faults of before is checked beside it.

--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -19,15 +19,24 @@
 using std::chrono_literals::operator""ms;
 
 constexpr std::array<std::string_view, fault_kinds> names{
-    "kill_vm",         "stop_vm",         "pause_vm",      "reload_settings",
-    "change_settings", "store_down",      "store_slow",    "store_forgets",
-    "link_silent",     "link_reset",      "link_one_way",  "link_slow",
-    "packets_lost",    "packets_doubled", "packets_late",  "drain_upstream",
-    "crash_upstream",  "lose_upstream",   "reuse_address", "slow_upstream",
-    "change_routes",   "peers_cut",       "peers_one_way", "peers_harmed"};
-
-/// Without those between VMs.
-constexpr std::uint32_t kinds_at_first = 21;
+    "kill_vm",         "stop_vm",          "pause_vm",      "reload_settings",
+    "change_settings", "store_down",       "store_slow",    "store_forgets",
+    "link_silent",     "link_reset",       "link_one_way",  "link_slow",
+    "packets_lost",    "packets_doubled",  "packets_late",  "drain_upstream",
+    "crash_upstream",  "lose_upstream",    "reuse_address", "slow_upstream",
+    "change_routes",   "peers_cut",        "peers_one_way", "peers_harmed",
+    "slow_upstreams",  "failing_upstreams"};
+
+/// The kinds of fault that scenarios of a seed have: the first so many.
+std::uint32_t kinds_of(std::uint64_t seed)
+{
+    constexpr std::uint32_t without_peers = 21;
+    constexpr std::uint32_t without_many_upstreams = 24;
+    if (seed < first_seed_of_peer_kinds)
+        return without_peers;
+    return seed < first_seed_of_upstream_kinds ? without_many_upstreams
+                                               : fault_kinds;
+}
 
 constexpr duration shortest_fault = 300ms;
 constexpr duration longest_fault = 5000ms;
@@ -47,8 +56,7 @@
 {
 public:
     explicit scenario_draw(std::uint64_t seed)
-        : random(seed),
-          kinds(seed < first_seed_of_all_kinds ? kinds_at_first : fault_kinds)
+        : random(seed), kinds(kinds_of(seed))
     {
     }
 
--- a/soak/scenario.hpp
+++ b/soak/scenario.hpp
@@ -62,13 +62,19 @@
     peers_one_way,
     /// Datagrams between all VMs are lost, doubled and late.
     peers_harmed,
+    /// A third of the upstreams take longer.
+    slow_upstreams,
+    /// A quarter of the upstreams answer requests with errors, at once.
+    failing_upstreams,
 };
 
-inline constexpr std::size_t fault_kinds = 24;
+inline constexpr std::size_t fault_kinds = 26;
 
-/// Scenarios of lower seeds have no faults between VMs. They stay what they
-/// were, as seeds that failed are kept.
-inline constexpr std::uint64_t first_seed_of_all_kinds = 1'000;
+/// Scenarios of lower seeds have no faults between VMs, and those below the
+/// second bound no faults of many upstreams at once. They stay what they were,
+/// as seeds that failed are kept.
+inline constexpr std::uint64_t first_seed_of_peer_kinds = 1'000;
+inline constexpr std::uint64_t first_seed_of_upstream_kinds = 100'000;
 
 [[nodiscard]] std::string_view to_text(fault_kind kind);
 
--- a/soak/soak_callers.cpp
+++ b/soak/soak_callers.cpp
@@ -255,9 +255,12 @@
         return this->with.record.note(
             this->with.time.now(), broken_promise::wrong_answer,
             this->describe(who));
-    this->with.record.note_end(request_end::answered);
+    this->with.record.note_end(
+        answer.packet.status == emulator::answer_status::served
+            ? request_end::answered
+            : request_end::failed);
     who.sequence += emulator::request_bytes;
-    who.acknowledged = answer.packet.sequence + emulator::answer_bytes;
+    who.acknowledged = answer.packet.sequence + answer.packet.bytes;
     this->send(who, tagged_path::ack, false);
     ++who.step;
     who.state = caller_state::pausing;
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -331,6 +331,8 @@
     case fault_kind::lose_upstream:
     case fault_kind::reuse_address:
     case fault_kind::slow_upstream:
+    case fault_kind::slow_upstreams:
+    case fault_kind::failing_upstreams:
         return this->strike_upstream(what);
     case fault_kind::change_routes:
         return this->change_routes();
@@ -511,6 +513,12 @@
         return this->upstreams->kill(what.target, upstream_life::silent, false);
     case fault_kind::reuse_address:
         return this->upstreams->kill(what.target, upstream_life::silent, true);
+    case fault_kind::slow_upstreams:
+        return this->upstreams->slow_down_many(
+            what.target, this->now() + what.length);
+    case fault_kind::failing_upstreams:
+        return this->upstreams->fail_many(
+            what.target, this->now() + what.length);
     default:
         return this->upstreams->slow_down(
             what.target, this->now() + what.length);
--- a/soak/soak_upstreams.cpp
+++ b/soak/soak_upstreams.cpp
@@ -22,6 +22,8 @@
 constexpr std::uint32_t slots = 4;
 constexpr duration service_time = 10ms;
 constexpr std::uint32_t slow_factor = 8;
+constexpr std::size_t one_in_slow = 3;
+constexpr std::size_t one_in_failing = 4;
 
 /// A dead upstream's entry goes after this.
 constexpr duration lease = 3s;
@@ -235,7 +237,7 @@
         this->with.record.note(now, broken_promise::new_at_leaving, what);
 }
 
-soak_upstream* soak_upstreams::pick(std::uint32_t target)
+std::vector<soak_upstream*> soak_upstreams::find_serving()
 {
     std::vector<soak_upstream*> serving;
     for (auto& [instance, each] : this->all)
@@ -246,9 +248,27 @@
         if (is_whole)
             serving.push_back(&each);
     }
+    return serving;
+}
+
+soak_upstream* soak_upstreams::pick(std::uint32_t target)
+{
+    auto const serving = this->find_serving();
     return serving.empty() ? nullptr : serving[target % serving.size()];
 }
 
+std::vector<soak_upstream*>
+soak_upstreams::pick_share(std::uint32_t target, std::size_t one_in)
+{
+    auto serving = this->find_serving();
+    if (serving.empty())
+        return serving;
+    auto const first = static_cast<std::ptrdiff_t>(target % serving.size());
+    std::rotate(serving.begin(), serving.begin() + first, serving.end());
+    serving.resize(std::max<std::size_t>(serving.size() / one_in, 1));
+    return serving;
+}
+
 void soak_upstreams::drain(std::uint32_t target)
 {
     soak_upstream* const leaving = this->pick(target);
@@ -338,18 +358,42 @@
 void soak_upstreams::slow_down(std::uint32_t target, time_point until)
 {
     soak_upstream* const slow = this->pick(target);
-    if (slow == nullptr)
-        return;
-    slow->serving->set_slowness(slow_factor);
-    slow->disturbed_until = until;
+    if (slow != nullptr)
+        this->slow_down(*slow, until);
+}
+
+void soak_upstreams::slow_down(soak_upstream& slow, time_point until)
+{
+    slow.serving->set_slowness(slow_factor);
+    slow.disturbed_until = until;
     this->with.time.add(
         until,
-        [serving = slow->serving.get()]
+        [serving = slow.serving.get()]
         {
             serving->set_slowness(1);
         });
 }
 
+void soak_upstreams::slow_down_many(std::uint32_t target, time_point until)
+{
+    for (soak_upstream* const each : this->pick_share(target, one_in_slow))
+        this->slow_down(*each, until);
+}
+
+void soak_upstreams::fail_many(std::uint32_t target, time_point until)
+{
+    for (soak_upstream* const each : this->pick_share(target, one_in_failing))
+    {
+        each->serving->set_failing(true);
+        this->with.time.add(
+            until,
+            [serving = each->serving.get()]
+            {
+                serving->set_failing(false);
+            });
+    }
+}
+
 bool soak_upstreams::is_living(instance_number instance, time_point now) const
 {
     auto const known = this->all.find(instance);
--- a/soak/soak_upstreams.hpp
+++ b/soak/soak_upstreams.hpp
@@ -85,6 +85,11 @@
     kill(std::uint32_t target, emulator::upstream_life how, bool is_reused);
     void slow_down(std::uint32_t target, time_point until);
 
+    /// A third of those that serve take longer, and a quarter answer with
+    /// errors, each from the target-th on. No precondition.
+    void slow_down_many(std::uint32_t target, time_point until);
+    void fail_many(std::uint32_t target, time_point until);
+
     /// Whether the instance serves and nothing was done to it lately. No
     /// precondition.
     [[nodiscard]] bool
@@ -113,7 +118,12 @@
         tagged_path::packet const& got,
         std::size_t vm);
     void end_when_drained(instance_number instance);
+    std::vector<soak_upstream*> find_serving();
     soak_upstream* pick(std::uint32_t target);
+    /// One in so many of those that serve, at least one if there is one.
+    std::vector<soak_upstream*>
+    pick_share(std::uint32_t target, std::size_t one_in);
+    void slow_down(soak_upstream& slow, time_point until);
 
     parties with;
     std::vector<std::string> domains;
--- a/tests/soak/test_checks.cpp
+++ b/tests/soak/test_checks.cpp
@@ -70,6 +70,23 @@
     }
 }
 
+// Errors of upstreams and slow ones must not count as faults of the VMs, nor
+// last longer than the scenario says: recovery is measured after them.
+Test(checks, upstreams_that_are_slow_or_fail_break_nothing)
+{
+    broken_vm_world world(vm_fault::none, 132);
+    world.run_for(5s);
+    world.callers.begin();
+    world.upstreams.fail_many(0, world.time.now() + 3s);
+    world.upstreams.slow_down_many(1, world.time.now() + 3s);
+    world.run_for(4s);
+    auto const failed = world.seen.ended(emulator::request_end::failed);
+    cr_expect_gt(failed, 0);
+    world.run_for(3s);
+    cr_expect_eq(world.seen.ended(emulator::request_end::failed), failed);
+    cr_expect_eq(world.seen.violations(), 0);
+}
+
 Test(checks, new_flows_at_a_leaving_upstream_are_seen)
 {
     broken_vm_world world(vm_fault::opens_at_leaving, 130);
--- a/tests/soak/test_scenario.cpp
+++ b/tests/soak/test_scenario.cpp
@@ -46,7 +46,7 @@
 {
     std::set<fault_kind> drawn;
     std::size_t overlapping = 0;
-    for (std::uint64_t seed = 1'001; seed <= 1'050; ++seed)
+    for (std::uint64_t seed = 100'001; seed <= 100'050; ++seed)
     {
         auto const plan = draw_scenario(seed, 4);
         for (std::size_t at = 0; at < plan.faults.size(); ++at)
@@ -77,6 +77,21 @@
         for (fault const& each : draw_scenario(seed, 4).faults)
             cr_expect_lt(each.kind, fault_kind::peers_cut);
     }
+    auto const with_peers = write_scenario(draw_scenario(1'002, 4));
+    for (std::string const fault :
+         {"at: 2519ms, kind: change_settings, target: 18, length: 550ms",
+          "at: 6786ms, kind: peers_cut, target: 4, length: 3322ms",
+          "at: 11564ms, kind: crash_upstream, target: 16, length: 4226ms"})
+        cr_expect(
+            with_peers.find(fault) != std::string::npos, "%s", fault.c_str());
+    std::set<fault_kind> drawn;
+    for (std::uint64_t seed = 1'001; seed <= 1'050; ++seed)
+    {
+        for (fault const& each : draw_scenario(seed, 4).faults)
+            drawn.insert(each.kind);
+    }
+    cr_expect_eq(drawn.size(), 24);
+    cr_expect_eq(*drawn.rbegin(), fault_kind::peers_harmed);
 }
 
 Test(scenario, bad_files_are_refused)
