--- a/emulator/topology.hpp
+++ b/emulator/topology.hpp
@@ -2,6 +2,7 @@
 
 #include <base/identifiers.hpp>
 #include <base/time.hpp>
+#include <event/settings.hpp>
 
 #include <cstdint>
 #include <string>
@@ -13,6 +14,17 @@
 /// The first VMs are the seeds, as far as there are so many.
 inline constexpr std::uint32_t seed_count = 3;
 
+/// One service, behind an address of its own.
+struct service_shape
+{
+    /// Its number in `topology::pool_sizes`.
+    std::uint32_t pool = 0;
+    bool is_idempotent = false;
+    duration target_latency{};
+    /// Zero is the most urgent.
+    std::uint32_t priority = 0;
+};
+
 /// How a fleet is laid out. VMs, upstreams and failure domains are shared out
 /// evenly.
 struct topology
@@ -35,6 +47,11 @@
     std::uint32_t items_per_page = 500;
     /// Of the datagrams between VMs.
     std::uint32_t lost_permille = 0;
+    /// Services and pools of unequal sizes, in place of `addresses` equal ones.
+    std::vector<service_shape> services{};
+    /// The sum is the number of upstreams.
+    std::vector<std::uint32_t> pool_sizes{};
+    placement_rule placement = placement_rule::flows;
 };
 
 /// Where the nth VM, upstream or domain of a topology stands.
