Soak: Place by answer times from seed 100,000 on

Cause: The soak's daemons all ran with `placement: flows`, so that no scenario met the ratings of upstreams. Ruled out: The setting for all seeds: kept seeds would not be what they were. Change: A scenario has a placement, written and read where it is `answer_times`; `draw_scenario` sets it from the first seed of faults of many upstreams on. The emulator publishes routes' priorities.

--- a/emulator/registry_store.cpp
+++ b/emulator/registry_store.cpp
@@ -82,7 +82,8 @@
              .is_idempotent = service.is_idempotent,
              .pools = {{pool_name(service.pool), 1}},
              .changed_at = this->latest,
-             .target_latency = service.target_latency});
+             .target_latency = service.target_latency,
+             .priority = static_cast<std::uint8_t>(service.priority)});
     }
     published.complete_since = this->latest;
     this->routes = {this->latest, std::move(published)};
--- a/soak/entry_vm.cpp
+++ b/soak/entry_vm.cpp
@@ -145,6 +145,11 @@
          << "versions: {join_timeout: 1s, readers_per_domain: 2, "
             "reader_patience: 1200ms, watch_wait: 2s}\n"
          << "handover: {stop_grace: 6s}\n"
+         << "tagging: {placement: "
+         << (this->plan.placement == placement_rule::answer_times
+                 ? "answer_times"
+                 : "flows")
+         << "}\n"
          // The one that changes.
          << "logging: {level: info, lines_per_second: "
          << first_lines_per_second + this->settings_number << "}\n";
--- a/soak/entry_vm.hpp
+++ b/soak/entry_vm.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <event/settings.hpp>
 #include <settings/settings.hpp>
 #include <soak/tcp_proxy.hpp>
 #include <thin_path/child_process.hpp>
@@ -28,6 +29,7 @@
     std::vector<std::string> seeds;
     std::filesystem::path folder;
     std::string name;
+    placement_rule placement = placement_rule::flows;
 };
 
 /// What a process uses, as the kernel tells it.
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -38,6 +38,9 @@
                                                : fault_kinds;
 }
 
+/// As settings call it.
+constexpr std::string_view answer_times_name = "answer_times";
+
 constexpr duration shortest_fault = 300ms;
 constexpr duration longest_fault = 5000ms;
 /// Between the faults of a series, which therefore overlap.
@@ -149,6 +152,8 @@
     plan.vms = vms;
     plan.upstreams = 2 * vms;
     plan.callers = 10 * vms;
+    if (seed >= first_seed_of_upstream_kinds)
+        plan.placement = placement_rule::answer_times;
     scenario_draw draw(seed);
     auto const series = fewest_series + draw.up_to(most_series - fewest_series);
     for (std::uint32_t count = 0; count < series; ++count)
@@ -162,7 +167,10 @@
     std::ostringstream text;
     text << "seed: " << plan.seed << "\nvms: " << plan.vms
          << "\nupstreams: " << plan.upstreams << "\ncallers: " << plan.callers
-         << "\nlength: " << in_milliseconds(plan.length) << "ms\nfaults:\n";
+         << "\nlength: " << in_milliseconds(plan.length) << "ms\n";
+    if (plan.placement == placement_rule::answer_times)
+        text << "placement: " << answer_times_name << '\n';
+    text << "faults:\n";
     for (fault const& each : plan.faults)
         text << "  - {at: " << in_milliseconds(each.at)
              << "ms, kind: " << to_text(each.kind)
@@ -182,6 +190,8 @@
         plan.upstreams = root["upstreams"].as<std::uint32_t>(plan.upstreams);
         plan.callers = root["callers"].as<std::uint32_t>(plan.callers);
         plan.length = read_duration(file, root, "length");
+        if (root["placement"].as<std::string>("") == answer_times_name)
+            plan.placement = placement_rule::answer_times;
         for (YAML::Node const& each : root["faults"])
             plan.faults.push_back(read_fault(file, each));
         if (plan.vms == 0 || plan.upstreams < 2)
--- a/soak/scenario.hpp
+++ b/soak/scenario.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/time.hpp>
+#include <event/settings.hpp>
 
 #include <cstdint>
 #include <filesystem>
@@ -71,8 +72,8 @@
 inline constexpr std::size_t fault_kinds = 26;
 
 /// Scenarios of lower seeds have no faults between VMs, and those below the
-/// second bound no faults of many upstreams at once. They stay what they were,
-/// as seeds that failed are kept.
+/// second bound no faults of many upstreams at once, and VMs that place by
+/// flows. They stay what they were, as seeds that failed are kept.
 inline constexpr std::uint64_t first_seed_of_peer_kinds = 1'000;
 inline constexpr std::uint64_t first_seed_of_upstream_kinds = 100'000;
 
@@ -95,6 +96,8 @@
     std::uint32_t vms = 4;
     std::uint32_t upstreams = 8;
     std::uint32_t callers = 40;
+    /// Setting of all VMs.
+    placement_rule placement = placement_rule::flows;
     /// Faults come within this; then the system is given time to recover.
     duration length = std::chrono::seconds(14);
     std::vector<fault> faults;
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -167,7 +167,7 @@
         added.vm = std::make_unique<entry_vm>(entry_vm_plan{
             this->places.program, known, behind, name_of_domain(number),
             this->addresses.platform(), port, seeds, this->places.folder,
-            "vm-" + std::to_string(number)});
+            "vm-" + std::to_string(number), this->plan.placement});
         this->vms.push_back(std::move(added));
     }
 }
--- a/tests/soak/test_scenario.cpp
+++ b/tests/soak/test_scenario.cpp
@@ -34,11 +34,18 @@
 Test(scenario, what_is_written_can_be_read)
 {
     thin_path::temporary_folder const folder;
-    for (std::uint64_t seed = 1; seed <= 50; ++seed)
+    for (std::uint64_t const first : {1UL, 100'000UL})
     {
-        auto const text = write_scenario(draw_scenario(seed, 4));
-        auto const read = read_scenario(write(folder.path(), text));
-        cr_expect(write_scenario(read) == text, "seed %lu", seed);
+        for (std::uint64_t seed = first; seed < first + 50; ++seed)
+        {
+            auto const plan = draw_scenario(seed, 4);
+            auto const text = write_scenario(plan);
+            auto const read = read_scenario(write(folder.path(), text));
+            cr_expect(write_scenario(read) == text, "seed %lu", seed);
+            cr_expect(
+                read.placement == (first == 1 ? placement_rule::flows
+                                              : placement_rule::answer_times));
+        }
     }
 }
 
