--- a/libraries/event/effect.hpp
+++ b/libraries/event/effect.hpp
@@ -169,6 +169,13 @@
     reading_extent extent = reading_extent::everything;
 };
 
+/// Read the platform's upstreams in a hurry, from any of its replicas; at most
+/// one `upstreams_read` answers it. None comes when the read fails or the
+/// platform has too many upstreams.
+struct read_upstreams
+{
+};
+
 /// Fetch a document; exactly one `document_fetched` or
 /// `document_fetch_failed` answers it.
 struct fetch_document
@@ -239,6 +246,13 @@
     /// No VM of a failure domain says anything, or one does again.
     domain_silent,
     domain_heard,
+    /// Upstreams that this VM collects observations of: one answers errors or
+    /// refuses, unlike others of its pool, or does so no more.
+    upstream_outlier_ejected,
+    upstream_outlier_restored,
+    /// A share of a pool's openings goes to other failure domains, or no more.
+    spill_started,
+    spill_stopped,
 };
 
 /// A belief's input: what it is, and what it was.
@@ -273,6 +287,7 @@
     drop_packet,
     send_control,
     watch_platform,
+    read_upstreams,
     fetch_document,
     probe_upstream,
     observe_handshake,
--- a/libraries/observability/flow_metrics.cpp
+++ b/libraries/observability/flow_metrics.cpp
@@ -28,6 +28,13 @@
     return std::chrono::duration<double>(length).count();
 }
 
+void raise_to(prometheus::Counter& counter, std::uint64_t total)
+{
+    auto const more = static_cast<double>(total) - counter.Value();
+    if (more > 0)
+        counter.Increment(more);
+}
+
 std::string_view to_label(connection_outcome outcome)
 {
     switch (outcome)
@@ -44,6 +51,18 @@
     return "unknown";
 }
 
+/// Priorities with labels of their own: a scrape must not grow with what the
+/// platform publishes.
+constexpr std::uint8_t labelled_priorities = 10;
+
+std::string to_label(std::optional<std::uint8_t> priority)
+{
+    if (!priority)
+        return "none";
+    return *priority < labelled_priorities ? std::to_string(*priority)
+                                           : shared_label;
+}
+
 } // namespace
 
 flow_metrics::flow_metrics(prometheus::Registry& all)
@@ -75,6 +94,17 @@
               .Name("cairnhead_openings_refused_by_rule_total")
               .Help("Openings that were refused, by the rule that said so.")
               .Register(all)),
+      refusals_by_priority(
+          BuildCounter()
+              .Name("cairnhead_refused_openings_total")
+              .Help("Openings that were refused, by the priority that their "
+                    "route declares.")
+              .Register(all)),
+      spilled(BuildCounter()
+                  .Name("cairnhead_spilled_openings_total")
+                  .Help("Openings that were sent to another failure domain, as "
+                        "requests wait in the own one, by service.")
+                  .Register(all)),
       evacuated_domains(BuildGauge()
                             .Name("cairnhead_evacuated_failure_domains")
                             .Help("Failure domains that operators evacuate.")
@@ -94,7 +124,22 @@
       lines(BuildGauge()
                 .Name("cairnhead_log_lines_left_out")
                 .Help("Log lines that were not written since the start.")
-                .Register(all))
+                .Register(all)),
+      ratings(BuildGauge()
+                  .Name("cairnhead_upstream_ratings")
+                  .Help("Upstreams with a rating in force: they perform "
+                        "differently from their pool.")
+                  .Register(all)),
+      ejections(BuildCounter()
+                    .Name("cairnhead_upstream_ejections_total")
+                    .Help("Ejections of upstreams whose answers were short, by "
+                          "the VM that collects their observations.")
+                    .Register(all)),
+      rating_messages(BuildCounter()
+                          .Name("cairnhead_rating_messages_total")
+                          .Help("Messages of observations and of ratings "
+                                "between VMs.")
+                          .Register(all))
 {
 }
 
@@ -106,9 +151,14 @@
         decided.step == flow_step::confirmed && decided.waited > duration{};
     if (is_timed)
         series.answers->Observe(to_seconds(decided.waited));
-    if (decided.step == flow_step::refused)
-        this->refusals.Add({{"rule", std::string(to_text(decided.rule))}})
-            .Increment();
+    if (decided.rule == flow_rule::spilled)
+        series.spilled->Increment();
+    if (decided.step != flow_step::refused)
+        return;
+    this->refusals.Add({{"rule", std::string(to_text(decided.rule))}})
+        .Increment();
+    this->refusals_by_priority.Add({{"priority", to_label(decided.priority)}})
+        .Increment();
 }
 
 void flow_metrics::observe_check(connection_outcome outcome, duration took)
@@ -150,12 +200,26 @@
             .Set(static_cast<double>(held.version.value()));
         this->ages.Add({{"document", held.name}}).Set(to_seconds(held.age));
     }
+    this->ratings.Add({}).Set(static_cast<double>(values.ratings_in_force));
+    raise_to(this->ejections.Add({}), values.outlier_ejections);
+    this->set_rating_messages(
+        "observations_sent", values.observation_messages_sent);
+    this->set_rating_messages(
+        "observations_received", values.observation_messages_received);
+    this->set_rating_messages("ratings_sent", values.rating_messages_sent);
+    this->set_rating_messages(
+        "ratings_received", values.rating_messages_received);
     this->lines.Add({{"reason", "limit"}})
         .Set(static_cast<double>(values.log_lines_left_out));
     this->lines.Add({{"reason", "sampling"}})
         .Set(static_cast<double>(values.flow_lines_sampled_out));
 }
 
+void flow_metrics::set_rating_messages(char const* kind, std::uint64_t count)
+{
+    raise_to(this->rating_messages.Add({{"kind", kind}}), count);
+}
+
 void flow_metrics::set_upstreams(char const* state, std::uint64_t count)
 {
     this->upstreams.Add({{"state", state}}).Set(static_cast<double>(count));
@@ -182,6 +246,7 @@
         series.steps[index] =
             &this->steps.Add({{"service", label}, {"step", step}});
     }
+    series.spilled = &this->spilled.Add({{"service", label}});
     series.answers = &this->answers.Add({{"service", label}}, answer_bounds);
     return series;
 }
--- a/libraries/reducer/reducer.hpp
+++ b/libraries/reducer/reducer.hpp
@@ -9,6 +9,7 @@
 #include <ownership/ownership_table.hpp>
 #include <pins/pin_table.hpp>
 #include <placement/placement.hpp>
+#include <rating/rating_exchange.hpp>
 #include <reducer/flow_router.hpp>
 #include <reducer/handover.hpp>
 #include <reducer/leave_turn.hpp>
@@ -62,9 +63,13 @@
     /// it is not about to leave. Precondition: started.
     [[nodiscard]] bool is_ready() const;
 
-    /// Whether callers' packets can be decided about: without the registry,
+    /// Whether packets of open flows can be forwarded: without the upstreams,
     /// those with tags can only be dropped. No precondition.
-    [[nodiscard]] bool knows_destinations() const;
+    [[nodiscard]] bool can_forward_flows() const;
+
+    /// Whether openings can be placed: without the whole registry, those with
+    /// tags can only be dropped. No precondition.
+    [[nodiscard]] bool can_place_openings() const;
 
     /// The pins, for measurements and views.
     [[nodiscard]] pin_table const& pins() const;
@@ -84,6 +89,7 @@
     void handle(time_point now, document_fetched const& body, effect_list& out);
     void
     handle(time_point now, document_fetch_failed const& body, effect_list& out);
+    void handle(time_point now, upstreams_read const& body, effect_list& out);
     void handle(time_point now, upstream_probed const& body, effect_list& out);
 
     void receive(
@@ -153,8 +159,25 @@
         vm_id sender,
         flow_binding const& message,
         effect_list& out);
+    void receive(
+        time_point now,
+        vm_id sender,
+        upstream_observation_listing const& message,
+        effect_list& out);
+    void receive(
+        time_point now,
+        vm_id sender,
+        upstream_rating_listing const& message,
+        effect_list& out);
 
     [[nodiscard]] bool is_tagged() const;
+    [[nodiscard]] bool uses_ratings() const;
+    [[nodiscard]] bool takes_ratings_of(vm_id sender) const;
+    [[nodiscard]] std::optional<rated_upstream>
+    find_rated(upstream_tag tag) const;
+    void exchange_ratings(time_point now, effect_list& out);
+    void report_outlier(
+        time_point now, ejection_change const& change, effect_list& out) const;
     [[nodiscard]] flow_explanation explain_tagged(
         time_point now, flow_id flow, endpoint const& destination) const;
     [[nodiscard]] routing_context context();
@@ -190,6 +213,7 @@
     stop_timeline stop;
     handover handing_over;
     tag_router tagged;
+    rating_exchange ratings;
     std::shared_ptr<directory const> declarations;
 
     std::uint64_t applied_membership = ~std::uint64_t(0);
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -31,13 +31,13 @@
 } // namespace
 
 tag_router::tag_router(
-    tagging_settings const& chosen,
-    failure_domain_id own_domain,
-    std::uint64_t seed)
-    : settings(chosen), domains(chosen, own_domain),
-      upstream_table(chosen, this->domains, own_domain, seed),
+    tagging_settings const& chosen, failure_domain_id own, std::uint64_t seed)
+    : settings(chosen), own_domain(own), domains(chosen, own),
+      upstream_table(chosen, this->domains, own, seed),
       flows(chosen.maximum_flows)
 {
+    if (chosen.placement == placement_rule::answer_times)
+        this->upstream_table.use_ratings(this->ratings);
 }
 
 void tag_router::set_listings(
@@ -63,9 +63,8 @@
         this->in_force.evacuations = versions.evacuations;
         this->apply_listing(now, std::move(contents.evacuations));
     }
-    // Callers' packets are queued until the registry is complete. Another VM
-    // may have placed the retransmissions of openings that were queued for
-    // long.
+    // Openings are queued until the registry is complete. Another VM may have
+    // placed the retransmissions of openings that were queued for long.
     if (this->is_informed() && !was_informed)
         this->pauses.record_pause_end(now);
 }
@@ -78,6 +77,12 @@
     this->route_by_address.clear();
     for (published_route const& route : this->routes->routes)
         this->route_by_address[address_of(route)] = &route;
+    std::erase_if(
+        this->baselines,
+        [this](auto const& entry)
+        {
+            return !this->route_by_address.contains(entry.first);
+        });
     this->upstream_table.set_warmups(this->routes->warmups);
 }
 
@@ -85,18 +90,55 @@
     time_point now, std::shared_ptr<upstream_listing const> listing)
 {
     this->in_force.upstreams_since = now;
+    bool const was_early = this->early_upstreams != nullptr;
+    if (was_early)
+        this->forget_early_upstreams();
     auto const previous =
         std::exchange(this->listed_upstreams, std::move(listing));
     auto const outcome = this->upstream_table.update(
         now, previous == nullptr ? upstream_listing() : *previous,
         *this->listed_upstreams);
+    if (was_early)
+        this->count_flows_again();
     for (upstream_tag const tag : outcome.restarted)
+    {
         this->remove_flows_of(tag);
+        this->forget_performance(tag);
+    }
     this->replaced_upstreams.insert(
         this->replaced_upstreams.end(), outcome.taken_over.begin(),
         outcome.taken_over.end());
 }
 
+void tag_router::set_early_upstreams(
+    time_point now, std::shared_ptr<upstream_listing const> listing)
+{
+    if (this->knows_upstreams() || listing == nullptr)
+        return;
+    this->early_upstreams = std::move(listing);
+    (void)this->upstream_table.update(now, {}, *this->early_upstreams);
+}
+
+void tag_router::forget_early_upstreams()
+{
+    // Neither of the two listings is known to be the later one. If the document
+    // counted as a change of the early listing, an upstream that is new in
+    // either could be taken for the successor of another at its address, and
+    // live flows would be reset.
+    this->early_upstreams.reset();
+    this->upstream_table.clear();
+}
+
+void tag_router::count_flows_again()
+{
+    this->flows.visit(
+        [this](tagged_flow const& flow)
+        {
+            if (auto* const upstream = this->upstream_table.find(flow.upstream))
+                ++upstream->flows;
+        });
+}
+
 void tag_router::apply_listing(
     time_point now, std::shared_ptr<evacuation_listing const> listing)
 {
@@ -118,12 +160,13 @@
     // upstreams, though other VMs could place it: when VMs started after all
     // had been down, callers saw this as resets. The caller's retransmission
     // reaches a VM that has the whole registry.
-    if (!this->is_informed())
+    bool const is_opening = is_opening_phase(packet.phase);
+    bool const can_decide =
+        is_opening ? this->is_informed() : this->knows_upstreams();
+    if (!can_decide)
         return this->drop(
             packet, drop_reason::not_ready, flow_rule::registry_incomplete,
             effects);
-    bool const is_opening = packet.phase == packet_phase::opening ||
-                            packet.phase == packet_phase::opening_with_data;
     if (is_opening)
         this->route_opening(now, packet, effects);
     else
@@ -138,6 +181,7 @@
     this->reset_flows_of_replaced(now, effects);
     while (auto due = this->unconfirmed.take_due(now))
         this->retry_opening(now, std::move(*due), effects);
+    this->observe_overdue_requests(now);
     this->domains.advance(now);
     this->report_reachability_changes(effects);
     this->start_due_checks(now, effects);
@@ -206,6 +250,7 @@
             this->tell_binding(now, packet, effects);
     }
     this->record_progress(now, packet, *flow, upstream, effects);
+    this->time_request(now, packet, *flow, upstream);
     flow->last_packet_at = now;
     if (packet.phase == packet_phase::closing)
         flow->state = tagged_flow_state::closing;
@@ -272,7 +317,10 @@
                       .expires_at = now + this->idle_timeout(),
                       .progress = {},
                       .last_packet_at = now,
-                      .is_contested = was_opening});
+                      .is_contested = was_opening,
+                      .requests = request_timer(
+                          was_opening ? flow_origin::opened_here
+                                      : flow_origin::opened_elsewhere)});
     return this->flows.find(packet.flow);
 }
 
@@ -320,6 +368,7 @@
 void tag_router::tick(time_point now, effect_list& effects)
 {
     this->pauses.record_event(now);
+    this->observe_overdue_requests(now);
     if (now < this->next_cleaning_at)
         return;
     this->next_cleaning_at = now + cleaning_period;
@@ -331,6 +380,7 @@
         });
     this->upstream_table.forget_old(now);
     this->ratings.expire(now);
+    this->answer_times.expire(now);
     this->bindings.expire(now);
     std::erase_if(
         this->delay_controls,
@@ -338,27 +388,24 @@
         {
             return entry.second.is_idle(now);
         });
+    this->forget_idle_loads(now, effects);
     this->recheck_unreachable(now);
     this->start_due_checks(now, effects);
     this->domains.probe_again(now);
 }
 
-std::vector<request_observation> tag_router::take_observations()
-{
-    return std::exchange(this->observations, {});
-}
-
-void tag_router::apply_rating(time_point now, upstream_rating const& rating)
-{
-    this->ratings.apply(now, rating);
-}
-
 bool tag_router::is_informed() const
 {
     return this->routes != nullptr && this->listed_upstreams != nullptr &&
            this->evacuations != nullptr;
 }
 
+bool tag_router::knows_upstreams() const
+{
+    return this->listed_upstreams != nullptr ||
+           this->early_upstreams != nullptr;
+}
+
 registry_knowledge const& tag_router::registry() const
 {
     return this->in_force;
@@ -384,7 +431,9 @@
 std::vector<upstream_candidate>
 tag_router::registered_upstreams(time_point now) const
 {
-    return this->upstream_table.registered_candidates(now);
+    auto registered = this->upstream_table.registered_candidates(now);
+    this->add_ratings(now, registered);
+    return registered;
 }
 
 tagged_explanation tag_router::explain(
@@ -398,6 +447,7 @@
     explanation.pool = this->pool_of(*explanation.route, flow);
     explanation.candidates =
         this->upstream_table.candidates(now, explanation.pool);
+    this->add_ratings(now, explanation.candidates);
     tagged_flow const* const entry = this->flows.find(flow);
     if (entry != nullptr)
         explanation.current = this->upstream_table.find(entry->upstream);
@@ -444,6 +494,7 @@
     decision.service = choice.pool;
     decision.pool_size = choice.pool_size;
     decision.ready = choice.ready;
+    decision.priority = choice.priority;
     return decision;
 }
 
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -3,8 +3,11 @@
 #include <event/effect.hpp>
 #include <event/event.hpp>
 #include <event/settings.hpp>
+#include <rating/domain_answer_times.hpp>
 #include <rating/rating_table.hpp>
+#include <rating/request_deadlines.hpp>
 #include <rating/request_observation.hpp>
+#include <rating/route_baseline.hpp>
 #include <registry/registry_snapshot.hpp>
 #include <tagging/confirmation_tracker.hpp>
 #include <tagging/domain_reachability.hpp>
@@ -13,7 +16,9 @@
 #include <tagging/message_budget.hpp>
 #include <tagging/pause_detector.hpp>
 #include <tagging/pending_openings.hpp>
+#include <tagging/priority_admission.hpp>
 #include <tagging/queue_delay_control.hpp>
+#include <tagging/spill_control.hpp>
 #include <tagging/tagged_flows.hpp>
 #include <tagging/tagged_upstreams.hpp>
 
@@ -22,6 +27,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 namespace cairnhead
 {
@@ -64,7 +70,7 @@
     /// Precondition: the settings outlive the object.
     tag_router(
         tagging_settings const& settings,
-        failure_domain_id own_domain,
+        failure_domain_id own,
         std::uint64_t seed);
 
     /// Puts new listings in force; null ones are ignored.
@@ -73,6 +79,13 @@
         registry_contents contents,
         registry_versions versions = {});
 
+    /// Forwards packets of open flows by this listing until the upstreams'
+    /// document is there; ignored from then on. It may be seconds old, which
+    /// does no harm to open flows: each packet names the instance that it is
+    /// meant for.
+    void set_early_upstreams(
+        time_point now, std::shared_ptr<upstream_listing const> listing);
+
     /// Sets the VMs of the own failure domain, including this one; empty while
     /// they are not known.
     void set_domain_vms(vm_id self, std::span<vm_id const> vms);
@@ -117,20 +130,35 @@
     /// last call, and whose VMs therefore have to be probed.
     [[nodiscard]] std::vector<failure_domain_id> take_domains_to_probe();
 
-    /// The requests that ended since the last call, for the ratings of their
-    /// upstreams. Empty unless the settings call for ratings.
+    /// The requests that ended since the last call, or that were found
+    /// unanswered, for the ratings of their upstreams. Only the first thousand.
+    /// Empty unless the settings call for ratings.
     [[nodiscard]] std::vector<request_observation> take_observations();
 
     /// Puts a rating in force.
     void apply_rating(time_point now, upstream_rating const& rating);
 
+    /// Number of ratings in force.
+    [[nodiscard]] std::size_t count_ratings(time_point now) const;
+
+    /// The upstream with this tag, or nullptr; valid until the next event.
+    [[nodiscard]] tagged_upstream const* find_upstream(upstream_tag tag) const;
+
+    /// The upstream's rating in force, if any.
+    [[nodiscard]] std::optional<upstream_rating>
+    rating_of(time_point now, upstream_tag upstream) const;
+
     /// Removes expired flows and upstreams, and has unreachable upstreams and
     /// failure domains checked again.
     void tick(time_point now, effect_list& effects);
 
-    /// Whether all listings were received. Until then all packets are dropped.
+    /// Whether all listings were received. Until then openings are dropped.
     [[nodiscard]] bool is_informed() const;
 
+    /// Whether packets of open flows can be forwarded: their tags name
+    /// upstreams, and neither routes nor evacuations are needed.
+    [[nodiscard]] bool knows_upstreams() const;
+
     /// The versions of the listings in force, and since when they are.
     [[nodiscard]] registry_knowledge const& registry() const;
 
@@ -185,6 +213,20 @@
         tag_certainty certainty = tag_certainty::certain;
     };
 
+    /// How a pool copes with its load.
+    struct pool_load
+    {
+        spill_control spill;
+        priority_admission admission;
+        /// When this VM last got an opening of the pool.
+        time_point opened_at;
+        /// The usual answer time of the route that was opened last, of those
+        /// whose usual time is known.
+        duration usual_time{};
+        /// Sorted.
+        std::vector<failure_domain_id> spill_to;
+    };
+
     void route_opening(
         time_point now, packet_arrived const& packet, effect_list& effects);
     /// Forgets what other VMs told, and the packets held, of an earlier flow
@@ -241,6 +283,8 @@
         time_point now, std::shared_ptr<upstream_listing const> listing);
     void apply_listing(
         time_point now, std::shared_ptr<evacuation_listing const> listing);
+    void forget_early_upstreams();
+    void count_flows_again();
     void report_reachability_changes(effect_list& effects);
     void start_due_checks(time_point now, effect_list& effects);
     void suspect_upstreams_of(failure_domain_id domain);
@@ -327,10 +371,73 @@
         tagged_flow const& flow,
         tagged_upstream const& upstream);
     void record_answer(time_point at, tagged_upstream& upstream);
-    [[nodiscard]] bool should_refuse_for_delay(
+    void add_ratings(time_point now, std::span<upstream_candidate> shown) const;
+    /// Finds out whether the packet begins or ends a request.
+    void time_request(
+        time_point now,
+        packet_arrived const& packet,
+        tagged_flow& flow,
+        tagged_upstream const& upstream);
+    void observe_answer(
+        time_point now,
+        tagged_flow& flow,
+        tagged_upstream const& upstream,
+        route_baseline& baseline,
+        request_timer::packet_findings const& found);
+    void observe_unanswered(
+        time_point now,
+        tagged_flow& flow,
+        tagged_upstream const& upstream,
+        route_baseline const& baseline);
+    void observe_overdue_requests(time_point now);
+    void add_observation(request_observation const& seen);
+    /// Forgets how an upstream performed before it restarted.
+    void forget_performance(upstream_tag restarted);
+    /// Whether spill and admission by priority apply to the route.
+    [[nodiscard]] bool follows_answer_times(published_route const& route) const;
+    [[nodiscard]] flow_length
+    flow_length_of(time_point now, published_route const& route) const;
+    [[nodiscard]] opening_kind
+    kind_of(time_point now, published_route const& route, flow_id flow) const;
+    /// Records an opening that no VM has placed before, and adapts the spill of
+    /// its pool.
+    void record_load(
+        time_point now,
+        published_route const& route,
+        flow_id flow,
+        effect_list& effects);
+    /// Forgets pools that get no openings any more, and ends their spill.
+    void forget_idle_loads(time_point now, effect_list& effects);
+    void update_spill(time_point now, std::string_view pool, pool_load& load);
+    /// Adds what is known of other failure domains, and lists those to which
+    /// openings may be spilled.
+    void add_other_domains(
+        time_point now,
+        std::string_view pool,
+        std::span<failure_domain_id const> others,
+        spill_evidence& evidence,
+        std::vector<failure_domain_id>& spill_to) const;
+    /// Nothing if the latest answer is older than `lifetime`.
+    [[nodiscard]] std::optional<mean_answer_time> mean_answer_of(
+        time_point now,
+        std::string_view pool,
+        failure_domain_id domain,
+        duration lifetime) const;
+    void report_spill(
+        time_point now,
+        std::string_view pool,
+        pool_load const& load,
+        effect_list& effects) const;
+    /// The rule by which the opening is refused, as requests of its pool wait;
+    /// nothing if it is admitted.
+    [[nodiscard]] std::optional<flow_rule> refusal_for_delay(
         time_point now,
         packet_arrived const& packet,
         published_route const& route);
+    /// Whether another VM may have placed the original of a retransmitted
+    /// opening, or the caller's retransmission of this one.
+    [[nodiscard]] static bool
+    may_be_placed_elsewhere(packet_arrived const& packet);
     void record_unanswered(
         time_point now, tagged_upstream& upstream, effect_list& effects);
     void avoid(time_point now, tagged_upstream& upstream, effect_list& effects);
@@ -355,8 +462,11 @@
         effect_list& effects);
 
     tagging_settings const& settings;
+    failure_domain_id own_domain;
     std::shared_ptr<route_listing const> routes;
     std::shared_ptr<upstream_listing const> listed_upstreams;
+    /// Null once the listing above is there.
+    std::shared_ptr<upstream_listing const> early_upstreams;
     std::shared_ptr<evacuation_listing const> evacuations;
     /// Versions of the listings above, and since when each is in force.
     registry_knowledge in_force;
@@ -365,6 +475,12 @@
     tagged_upstreams upstream_table;
     rating_table ratings;
     std::vector<request_observation> observations;
+    /// By the address of the route; references stay valid when others are
+    /// added.
+    std::unordered_map<endpoint, route_baseline, absl::Hash<endpoint>>
+        baselines;
+    domain_answer_times answer_times;
+    request_deadlines waiting_requests;
     tagged_flows flows;
     pending_openings unconfirmed;
     confirmation_tracker confirmations;
@@ -375,6 +491,8 @@
     pause_detector pauses;
     /// By pool.
     std::map<std::string, queue_delay_control, std::less<>> delay_controls;
+    /// By pool; of pools with a route that declares a priority.
+    std::map<std::string, pool_load, std::less<>> pool_loads;
     /// Upstreams whose address another upstream has taken over, and whose flows
     /// have not been reset yet.
     std::vector<upstream_tag> replaced_upstreams;
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -19,15 +19,27 @@
 using std::chrono_literals::operator""ms;
 
 constexpr std::array<std::string_view, fault_kinds> names{
-    "kill_vm",         "stop_vm",         "pause_vm",      "reload_settings",
-    "change_settings", "store_down",      "store_slow",    "store_forgets",
-    "link_silent",     "link_reset",      "link_one_way",  "link_slow",
-    "packets_lost",    "packets_doubled", "packets_late",  "drain_upstream",
-    "crash_upstream",  "lose_upstream",   "reuse_address", "slow_upstream",
-    "change_routes",   "peers_cut",       "peers_one_way", "peers_harmed"};
+    "kill_vm",         "stop_vm",          "pause_vm",      "reload_settings",
+    "change_settings", "store_down",       "store_slow",    "store_forgets",
+    "link_silent",     "link_reset",       "link_one_way",  "link_slow",
+    "packets_lost",    "packets_doubled",  "packets_late",  "drain_upstream",
+    "crash_upstream",  "lose_upstream",    "reuse_address", "slow_upstream",
+    "change_routes",   "peers_cut",        "peers_one_way", "peers_harmed",
+    "slow_upstreams",  "failing_upstreams"};
+
+/// The kinds of fault that scenarios of a seed have: the first so many.
+std::uint32_t kinds_of(std::uint64_t seed)
+{
+    constexpr std::uint32_t without_peers = 21;
+    constexpr std::uint32_t without_many_upstreams = 24;
+    if (seed < first_seed_of_peer_kinds)
+        return without_peers;
+    return seed < first_seed_of_upstream_kinds ? without_many_upstreams
+                                               : fault_kinds;
+}
 
-/// Without those between VMs.
-constexpr std::uint32_t kinds_at_first = 21;
+/// As settings call it.
+constexpr std::string_view answer_times_name = "answer_times";
 
 constexpr duration shortest_fault = 300ms;
 constexpr duration longest_fault = 5000ms;
@@ -47,8 +59,7 @@
 {
 public:
     explicit scenario_draw(std::uint64_t seed)
-        : random(seed),
-          kinds(seed < first_seed_of_all_kinds ? kinds_at_first : fault_kinds)
+        : random(seed), kinds(kinds_of(seed))
     {
     }
 
@@ -141,6 +152,8 @@
     plan.vms = vms;
     plan.upstreams = 2 * vms;
     plan.callers = 10 * vms;
+    if (seed >= first_seed_of_upstream_kinds)
+        plan.placement = placement_rule::answer_times;
     scenario_draw draw(seed);
     auto const series = fewest_series + draw.up_to(most_series - fewest_series);
     for (std::uint32_t count = 0; count < series; ++count)
@@ -154,7 +167,10 @@
     std::ostringstream text;
     text << "seed: " << plan.seed << "\nvms: " << plan.vms
          << "\nupstreams: " << plan.upstreams << "\ncallers: " << plan.callers
-         << "\nlength: " << in_milliseconds(plan.length) << "ms\nfaults:\n";
+         << "\nlength: " << in_milliseconds(plan.length) << "ms\n";
+    if (plan.placement == placement_rule::answer_times)
+        text << "placement: " << answer_times_name << '\n';
+    text << "faults:\n";
     for (fault const& each : plan.faults)
         text << "  - {at: " << in_milliseconds(each.at)
              << "ms, kind: " << to_text(each.kind)
@@ -174,6 +190,8 @@
         plan.upstreams = root["upstreams"].as<std::uint32_t>(plan.upstreams);
         plan.callers = root["callers"].as<std::uint32_t>(plan.callers);
         plan.length = read_duration(file, root, "length");
+        if (root["placement"].as<std::string>("") == answer_times_name)
+            plan.placement = placement_rule::answer_times;
         for (YAML::Node const& each : root["faults"])
             plan.faults.push_back(read_fault(file, each));
         if (plan.vms == 0 || plan.upstreams < 2)
--- a/tests/soak/test_scenario.cpp
+++ b/tests/soak/test_scenario.cpp
@@ -34,11 +34,18 @@
 Test(scenario, what_is_written_can_be_read)
 {
     thin_path::temporary_folder const folder;
-    for (std::uint64_t seed = 1; seed <= 50; ++seed)
+    for (std::uint64_t const first : {1UL, 100'000UL})
     {
-        auto const text = write_scenario(draw_scenario(seed, 4));
-        auto const read = read_scenario(write(folder.path(), text));
-        cr_expect(write_scenario(read) == text, "seed %lu", seed);
+        for (std::uint64_t seed = first; seed < first + 50; ++seed)
+        {
+            auto const plan = draw_scenario(seed, 4);
+            auto const text = write_scenario(plan);
+            auto const read = read_scenario(write(folder.path(), text));
+            cr_expect(write_scenario(read) == text, "seed %lu", seed);
+            cr_expect(
+                read.placement == (first == 1 ? placement_rule::flows
+                                              : placement_rule::answer_times));
+        }
     }
 }
 
@@ -46,7 +53,7 @@
 {
     std::set<fault_kind> drawn;
     std::size_t overlapping = 0;
-    for (std::uint64_t seed = 1'001; seed <= 1'050; ++seed)
+    for (std::uint64_t seed = 100'001; seed <= 100'050; ++seed)
     {
         auto const plan = draw_scenario(seed, 4);
         for (std::size_t at = 0; at < plan.faults.size(); ++at)
@@ -77,6 +84,21 @@
         for (fault const& each : draw_scenario(seed, 4).faults)
             cr_expect_lt(each.kind, fault_kind::peers_cut);
     }
+    auto const with_peers = write_scenario(draw_scenario(1'002, 4));
+    for (std::string const fault :
+         {"at: 2519ms, kind: change_settings, target: 18, length: 550ms",
+          "at: 6786ms, kind: peers_cut, target: 4, length: 3322ms",
+          "at: 11564ms, kind: crash_upstream, target: 16, length: 4226ms"})
+        cr_expect(
+            with_peers.find(fault) != std::string::npos, "%s", fault.c_str());
+    std::set<fault_kind> drawn;
+    for (std::uint64_t seed = 1'001; seed <= 1'050; ++seed)
+    {
+        for (fault const& each : draw_scenario(seed, 4).faults)
+            drawn.insert(each.kind);
+    }
+    cr_expect_eq(drawn.size(), 24);
+    cr_expect_eq(*drawn.rbegin(), fault_kind::peers_harmed);
 }
 
 Test(scenario, bad_files_are_refused)
