Rating, Tagging: Do not prefer upstreams that fail at once

The deploy file's build failed on a false -Wrestrict. Ruled out: telling of each share of short answers from a tenth on: noise then takes the budget from slow upstreams at 314 VMs (rating_exchange::traffic_stays_within_the_budget_at_the_target failed). Change: ratings are told from a quarter of short answers on; the expected time has the tries that a request needs; nobody is preferred for answering sooner than usual. The names of a spill's domains are joined without a temporary string.

--- a/libraries/rating/rating_collector.cpp
+++ b/libraries/rating/rating_collector.cpp
@@ -20,6 +20,10 @@
 /// From here on an upstream is busy enough for the work to be told.
 constexpr std::uint16_t notable_work_permille = 700;
 
+/// From this share of short answers on, an upstream that answers errors or
+/// refusals at once would look idle if nothing were told of it.
+constexpr std::uint16_t notable_short_permille = 250;
+
 /// A change by a fifth is announced at once.
 constexpr int notable_part = 5;
 
@@ -47,7 +51,8 @@
 bool differs_from_usual(upstream_rating const& rating)
 {
     return rating.is_ejected || !is_usual(rating.relative_permille) ||
-           rating.work_permille >= notable_work_permille;
+           rating.work_permille >= notable_work_permille ||
+           rating.short_permille >= notable_short_permille;
 }
 
 bool differs_by_a_fifth(int earlier, int later)
@@ -63,12 +68,17 @@
     bool const is_work_told =
         std::max(earlier.work_permille, later.work_permille) >=
         notable_work_permille;
+    bool const is_share_told =
+        std::max(earlier.short_permille, later.short_permille) >=
+        notable_short_permille;
     return earlier.is_ejected != later.is_ejected ||
            (is_time_told &&
             differs_by_a_fifth(
                 earlier.relative_permille, later.relative_permille)) ||
            (is_work_told &&
-            differs_by_a_fifth(earlier.work_permille, later.work_permille));
+            differs_by_a_fifth(earlier.work_permille, later.work_permille)) ||
+           (is_share_told &&
+            differs_by_a_fifth(earlier.short_permille, later.short_permille));
 }
 
 } // namespace
--- a/libraries/tagging/answer_time_placement.cpp
+++ b/libraries/tagging/answer_time_placement.cpp
@@ -18,10 +18,26 @@
 /// Maximum of the random part of a load, as for `tagged_upstreams::choose`.
 constexpr double tie_breaking_load = 0.01;
 
+/// An upstream that answers sooner than usual gets no more for it: errors are
+/// quick, and this VM may not know the route's usual length of answers yet.
 double relative_time(placement_candidate const& upstream)
 {
-    return upstream.rating ? upstream.rating->relative_permille / whole_permille
-                           : 1.0;
+    if (!upstream.rating)
+        return 1.0;
+    return std::max(1.0, upstream.rating->relative_permille / whole_permille);
+}
+
+/// An upstream that answers only errors must still be comparable with others.
+constexpr double least_good_share = 0.05;
+
+/// How many tries a request needs there, in the mean: an upstream that refuses
+/// or fails at once has little work in hand, and would look quick.
+double expected_tries(placement_candidate const& upstream)
+{
+    if (!upstream.rating)
+        return 1.0;
+    double const good = 1.0 - upstream.rating->short_permille / whole_permille;
+    return 1.0 / std::max(good, least_good_share);
 }
 
 bool is_much_slower(placement_candidate const& upstream)
@@ -109,7 +125,8 @@
     for (std::size_t const index : eligible)
     {
         placement_candidate const& upstream = ready[index];
-        double const load = upstream.flow_load * relative_time(upstream) +
+        double const load = upstream.flow_load * relative_time(upstream) *
+                                expected_tries(upstream) +
                             tie_breaker(this->random);
         bool const is_better = index == eligible.front() || load < best_load;
         if (!is_better)
@@ -129,7 +146,8 @@
             : 0.0;
     // One more for the request itself: an idle slow upstream is slow, too.
     double const requests = slots_in_use + upstream.own_openings + 1;
-    return relative_time(upstream) * requests / upstream.slots;
+    return relative_time(upstream) * expected_tries(upstream) * requests /
+           upstream.slots;
 }
 
 } // namespace cairnhead
--- a/libraries/tagging/answer_time_placement.hpp
+++ b/libraries/tagging/answer_time_placement.hpp
@@ -54,7 +54,8 @@
     [[nodiscard]] std::size_t
     choose_least_loaded(std::span<placement_candidate const> ready);
 
-    /// Answer time of one more request, in usual answer times of its route.
+    /// Answer time of one more request, in usual answer times of its route, all
+    /// tries included that it needs there.
     [[nodiscard]] static double
     expected_answer_time(placement_candidate const& upstream);
 
--- a/libraries/tagging/tag_router_load.cpp
+++ b/libraries/tagging/tag_router_load.cpp
@@ -215,7 +215,11 @@
              std::to_string(std::llround(own->relative * whole_permille))});
     std::string names;
     for (failure_domain_id const domain : load.spill_to)
-        names += (names.empty() ? "" : ",") + this->name_of(domain);
+    {
+        if (!names.empty())
+            names += ',';
+        names += this->name_of(domain);
+    }
     facts.push_back({"failure_domains", names});
     effects.emplace_back(report{
         load.spill.is_spilling() ? report_kind::spill_started
