--- a/tests/traffic/test_traffic.cpp
+++ b/tests/traffic/test_traffic.cpp
@@ -17,7 +17,7 @@
 class world
 {
 public:
-    explicit world(std::uint64_t seed, traffic_shape shape = {})
+    explicit world(std::uint64_t seed, traffic_shape const& shape = {})
         : fleet(topology_of_test(), seed),
           traffic((this->settle(), this->fleet), with_callers(shape), seed)
     {
