--- a/review/standins-2/caller.cpp
+++ b/review/standins-2/caller.cpp
@@ -62,7 +62,7 @@
     made->port = own_port;
     made->route = route;
     made->route_port = port;
-    made->next_sent = this->random();
+    made->next_sent = static_cast<std::uint32_t>(this->random());
     this->flows[own_port] = made;
     this->send_opening(made);
     for (auto const after : {200ms, 600ms})
--- a/review/standins-2/fleet.cpp
+++ b/review/standins-2/fleet.cpp
@@ -149,7 +149,7 @@
     replace_all(text, "{{bounds.graceS}}", "6");
     if (text.empty() || text.find("{{") != std::string::npos)
         give_up("the template of the settings has names that are not known");
-    std::string const path = this->chosen.folder + "/" + one.name + ".yaml";
+    std::string path = this->chosen.folder + "/" + one.name + ".yaml";
     std::ofstream(path) << text;
     return path;
 }
@@ -245,9 +245,10 @@
     place.sin_family = AF_INET;
     place.sin_addr.s_addr = htonl(this->find(name).address);
     place.sin_port = htons(ready_port);
-    ::connect(
+    // Its outcome shows when the socket can be written to.
+    static_cast<void>(::connect(
         asked->descriptor, reinterpret_cast<sockaddr const*>(&place),
-        sizeof(place));
+        sizeof(place)));
     auto const finish = [this, asked, name](bool is_ready)
     {
         if (std::exchange(asked->is_over, true))
--- a/review/standins-2/host.cpp
+++ b/review/standins-2/host.cpp
@@ -178,7 +178,7 @@
     {
         known = std::make_shared<flow>();
         known->opening = arrived;
-        known->first = this->random();
+        known->first = static_cast<std::uint32_t>(this->random());
         known->next_received = arrived.sequence + 1;
         this->seen.write(
             "host " + this->self.id + " service=" + this->self.service +
