Tagging: Give all upstreams of an opening the tag of the confirmed one

A caller that had paused got a reset from an upstream that did not hold its flow, after all VMs had restarted in turn as planned; its request was never answered. One answer to the opening is lost, so after 50 ms a second upstream gets it too. The first one repeats its answer for 11 s, and each repeat puts its tag into the caller's packets. VMs corrected that from memory alone; a VM that leaves hands nothing over and one that starts is told nothing.

Change: the VM keeps an opening that it sent to several upstreams for 12 s. When one is confirmed, here or at another VM that asks or tells, the others get the opening once more with the tag of the confirmed one, and put that into the answers that they repeat. The copy is sent again with the flow's next packet, and when a packet still has another tag. Both kinds still count as violations, and loss_and_doubling_run_nothing_twice now allows no reset of a confirmed flow.

Left: corrections that are lost, and VMs killed between the second offer and the confirmation.

--- a/emulator/emulated_traffic.cpp
+++ b/emulator/emulated_traffic.cpp
@@ -388,7 +388,10 @@
                            !this->is_disturbed(who);
     if (is_living)
         this->counted.note_violation(
-            this->fleet.now(), traffic_violation::living_flow_reset,
+            this->fleet.now(),
+            upstream->has_confirmed(who.flow)
+                ? traffic_violation::living_flow_reset
+                : traffic_violation::unconfirmed_flow_reset,
             this->describe(who));
 }
 
@@ -402,9 +405,13 @@
         who.served_by
             ? upstream != nullptr && upstream->life() == upstream_life::serving
             : this->may_be_served(who);
+    bool const is_unconfirmed =
+        upstream != nullptr && !upstream->has_confirmed(who.flow);
     if (has_living_upstream)
         this->counted.note_violation(
-            this->fleet.now(), traffic_violation::living_flow_timed_out,
+            this->fleet.now(),
+            is_unconfirmed ? traffic_violation::unconfirmed_flow_timed_out
+                           : traffic_violation::living_flow_timed_out,
             this->describe(who));
 }
 
--- a/emulator/emulated_upstream.cpp
+++ b/emulator/emulated_upstream.cpp
@@ -287,6 +287,12 @@
     return this->factor;
 }
 
+bool emulated_upstream::has_confirmed(flow_number flow) const
+{
+    auto const known = this->connections.find(flow);
+    return known != this->connections.end() && known->second.is_confirmed;
+}
+
 std::size_t emulated_upstream::flow_count() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
--- a/emulator/emulated_upstream.hpp
+++ b/emulator/emulated_upstream.hpp
@@ -90,6 +90,7 @@
     [[nodiscard]] bool is_failing() const;
     /// Flows that their callers confirmed. No precondition.
     [[nodiscard]] std::size_t flow_count() const;
+    [[nodiscard]] bool has_confirmed(flow_number flow) const;
     [[nodiscard]] std::uint64_t runs() const;
 
 private:
--- a/emulator/traffic_meter.cpp
+++ b/emulator/traffic_meter.cpp
@@ -23,6 +23,10 @@
         return "living_flow_reset";
     case traffic_violation::living_flow_timed_out:
         return "living_flow_timed_out";
+    case traffic_violation::unconfirmed_flow_reset:
+        return "unconfirmed_flow_reset";
+    case traffic_violation::unconfirmed_flow_timed_out:
+        return "unconfirmed_flow_timed_out";
     case traffic_violation::wrong_service:
         return "wrong_service";
     case traffic_violation::run_twice:
--- a/emulator/traffic_meter.hpp
+++ b/emulator/traffic_meter.hpp
@@ -16,8 +16,12 @@
 {
     /// A flow ended though its upstream served and could be reached.
     living_flow_reset,
+    /// The same before the upstream had got the caller's confirmation.
+    unconfirmed_flow_reset,
     /// Nobody answered though an upstream and a VM could be reached.
     living_flow_timed_out,
+    /// The same before the upstream had got the caller's confirmation.
+    unconfirmed_flow_timed_out,
     /// A packet reached an upstream that does not serve its route.
     wrong_service,
     /// Two upstreams, or one twice, worked on a request.
@@ -28,7 +32,7 @@
     refused_in_vain,
 };
 
-inline constexpr std::size_t traffic_violation_kinds = 6;
+inline constexpr std::size_t traffic_violation_kinds = 8;
 
 [[nodiscard]] std::string_view to_text(traffic_violation kind);
 
--- a/libraries/event/flow_decision.hpp
+++ b/libraries/event/flow_decision.hpp
@@ -33,6 +33,9 @@
     refused,
     /// The caller was told that its flow has ended.
     reset,
+    /// An upstream that also got its opening was told the tag of the one that
+    /// the caller confirmed.
+    tag_corrected,
     /// A packet was dropped.
     dropped,
 };
--- a/libraries/observability/effect_text.hpp
+++ b/libraries/observability/effect_text.hpp
@@ -198,6 +198,8 @@
         return "flow_refused";
     case flow_step::reset:
         return "flow_reset";
+    case flow_step::tag_corrected:
+        return "flow_tag_corrected";
     case flow_step::dropped:
         return "packet_dropped";
     }
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -228,6 +228,7 @@
     this->update_flow(now, packet, upstream, named.rule, effects);
     this->check_now(now, packet, upstream);
     send(packet, upstream, upstream.tag, effects);
+    this->correct_tag_of(now, packet, upstream, effects);
 }
 
 void tag_router::update_flow(
@@ -238,7 +239,10 @@
     effect_list& effects)
 {
     if (packet.phase == packet_phase::reset)
+    {
+        this->contested.remove(packet.flow);
         return this->remove_flow(packet.flow);
+    }
     tagged_flow* const flow =
         this->find_or_add_flow(now, packet, upstream.tag, rule, effects);
     if (flow == nullptr)
@@ -382,6 +386,7 @@
     this->ratings.expire(now);
     this->answer_times.expire(now);
     this->bindings.expire(now);
+    this->contested.expire(now);
     std::erase_if(
         this->delay_controls,
         [now](auto const& entry)
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -10,6 +10,7 @@
 #include <rating/route_baseline.hpp>
 #include <registry/registry_snapshot.hpp>
 #include <tagging/confirmation_tracker.hpp>
+#include <tagging/contested_openings.hpp>
 #include <tagging/domain_reachability.hpp>
 #include <tagging/flow_bindings.hpp>
 #include <tagging/held_packets.hpp>
@@ -330,6 +331,23 @@
     void tell_binding(
         time_point now, packet_arrived const& packet, effect_list& effects);
     void tell_peers(control_body const& message, effect_list& effects) const;
+    /// Ends the choice between the upstreams that got an opening.
+    void settle_opening(
+        time_point now,
+        flow_id flow,
+        upstream_tag confirmed,
+        effect_list& effects);
+    /// Handles a packet that was sent to the flow's upstream and may carry the
+    /// tag of another one that got the opening.
+    void correct_tag_of(
+        time_point now,
+        packet_arrived const& packet,
+        tagged_upstream const& upstream,
+        effect_list& effects);
+    /// Has the other upstreams that got the opening answer it with the tag of
+    /// the confirmed one.
+    void correct_tags(
+        time_point now, contested_opening& opening, effect_list& effects);
     void check_now(
         time_point now,
         packet_arrived const& packet,
@@ -484,6 +502,7 @@
     tagged_flows flows;
     pending_openings unconfirmed;
     confirmation_tracker confirmations;
+    contested_openings contested;
     flow_bindings bindings;
     held_packets held;
     message_budget budget;
--- /dev/null
+++ b/libraries/tagging/tag_router_contested.cpp
@@ -0,0 +1,85 @@
+#include <tagging/tag_router.hpp>
+
+#include <algorithm>
+
+/// Openings that several upstreams got. Each of these puts the latest tag that
+/// it received for the flow into its answers. So a copy of the opening with the
+/// tag of the confirmed upstream makes all of them answer with the right tag,
+/// and no VM has to remember the flow.
+namespace cairnhead
+{
+
+namespace
+{
+
+using std::chrono_literals::operator""ms;
+
+/// The answer to a correction needs less.
+constexpr duration correction_interval = 100ms;
+
+/// Callers and upstreams may take a flow for lost when three packets in a row
+/// go to other upstreams than its own.
+constexpr std::size_t corrections_at_once = 2;
+
+} // namespace
+
+void tag_router::settle_opening(
+    time_point now, flow_id flow, upstream_tag confirmed, effect_list& effects)
+{
+    contested_opening* const opening = this->contested.find(flow);
+    if (opening == nullptr || opening->confirmed != upstream_tag())
+        return;
+    opening->confirmed = confirmed;
+    this->correct_tags(now, *opening, effects);
+}
+
+void tag_router::correct_tag_of(
+    time_point now,
+    packet_arrived const& packet,
+    tagged_upstream const& upstream,
+    effect_list& effects)
+{
+    contested_opening* const opening = this->contested.find(packet.flow);
+    if (opening == nullptr)
+        return;
+    if (opening->confirmed == upstream_tag())
+        opening->confirmed = upstream.tag;
+    bool const is_tag_wrong =
+        *packet.tag != upstream.tag && now >= opening->next_correction_at;
+    bool const is_due = opening->corrections_left > 0 || is_tag_wrong;
+    if (opening->confirmed == upstream.tag && is_due)
+        this->correct_tags(now, *opening, effects);
+}
+
+void tag_router::correct_tags(
+    time_point now, contested_opening& opening, effect_list& effects)
+{
+    if (opening.corrections_left > 0)
+        --opening.corrections_left;
+    opening.next_correction_at = now + correction_interval;
+    std::size_t corrected = 0;
+    std::vector<upstream_tag> const offered_to = opening.offered_to;
+    for (upstream_tag const tag : offered_to)
+    {
+        tagged_upstream const* const other = this->upstream_table.find(tag);
+        bool const may_correct =
+            tag != opening.confirmed && other != nullptr &&
+            this->upstream_table.may_repeat_opening(now, *other);
+        if (!may_correct)
+            continue;
+        if (corrected++ == corrections_at_once)
+            break;
+        auto const turn = std::ranges::find(opening.offered_to, tag);
+        std::rotate(turn, turn + 1, opening.offered_to.end());
+        registered_upstream const& at = other->registered;
+        effects.emplace_back(send_copy{
+            opening.bytes,
+            {at.address, at.port, at.instance},
+            opening.confirmed});
+        effects.emplace_back(this->make_decision(
+            flow_step::tag_corrected, flow_rule::opening_unanswered,
+            opening.flow, {opening.caller, opening.destination}, other));
+    }
+}
+
+} // namespace cairnhead
--- a/libraries/tagging/tag_router_openings.cpp
+++ b/libraries/tagging/tag_router_openings.cpp
@@ -49,6 +49,7 @@
 void tag_router::forget_earlier_flow(flow_id flow)
 {
     this->bindings.remove(flow);
+    this->contested.remove(flow);
     (void)this->held.take(flow);
 }
 
@@ -137,6 +138,10 @@
         is_first_attempt && !may_be_placed_elsewhere(packet)
             ? opening_history::first_offer
             : opening_history::offered_before);
+    if (!is_first_attempt)
+        this->contested.record(
+            now, {packet.flow, packet.source, packet.destination, packet.bytes,
+                  excluded, choice.chosen->tag});
     this->schedule_retry(now, packet);
     send(
         packet, *choice.chosen,
@@ -265,6 +270,9 @@
     this->add_opening(
         now, opening.flow, ends, *choice.chosen,
         opening_history::offered_before);
+    this->contested.record(
+        now, {opening.flow, ends.caller, ends.destination, opening.bytes,
+              silent, choice.chosen->tag});
     registered_upstream const& at = choice.chosen->registered;
     effects.emplace_back(send_copy{
         opening.bytes,
--- a/libraries/tagging/tag_router_takeover.cpp
+++ b/libraries/tagging/tag_router_takeover.cpp
@@ -129,6 +129,7 @@
     registered_upstream const& at = upstream.registered;
     effects.emplace_back(send_copy{
         packet.bytes, {at.address, at.port, at.instance}, upstream.tag});
+    this->correct_tag_of(now, packet.arrived, upstream, effects);
 }
 
 void tag_router::release_due(time_point now, effect_list& effects)
@@ -183,6 +184,7 @@
         this->tell_peers(answer, effects);
     else
         effects.emplace_back(send_control{sender, answer});
+    this->settle_opening(now, asked.flow, asked.named, effects);
 }
 
 void tag_router::receive(
@@ -194,6 +196,7 @@
     if (is_unconfirmed)
         this->remove_flow(told.flow);
     this->bindings.record(now, told.flow, told.upstream, told.acknowledged);
+    this->settle_opening(now, told.flow, told.upstream, effects);
     if (auto const released = this->held.take(told.flow))
         this->release(now, *released, effects);
 }
--- a/libraries/tagging/tagged_upstreams.hpp
+++ b/libraries/tagging/tagged_upstreams.hpp
@@ -144,6 +144,12 @@
     [[nodiscard]] bool
     may_resend_opening(time_point now, tagged_upstream const& upstream) const;
 
+    /// Whether the upstream, which has got an opening, may get the opening
+    /// again although the caller has confirmed another upstream. One that has
+    /// stopped listening would reset the caller's flow.
+    [[nodiscard]] bool
+    may_repeat_opening(time_point now, tagged_upstream const& upstream) const;
+
     /// Records that this VM opened a flow at the upstream.
     void record_opening(time_point now, tagged_upstream& upstream) const;
 
--- a/libraries/tagging/tagged_upstreams_choice.cpp
+++ b/libraries/tagging/tagged_upstreams_choice.cpp
@@ -89,6 +89,15 @@
     }
 }
 
+bool tagged_upstreams::may_repeat_opening(
+    time_point now, tagged_upstream const& upstream) const
+{
+    auto const verdict = this->verdict_on(now, upstream);
+    return verdict != upstream_verdict::missing &&
+           verdict != upstream_verdict::unreachable &&
+           this->may_resend_opening(now, upstream);
+}
+
 void tagged_upstreams::record_opening(
     time_point now, tagged_upstream& upstream) const
 {
--- a/tests/traffic/test_traffic.cpp
+++ b/tests/traffic/test_traffic.cpp
@@ -79,12 +79,14 @@
     {
         auto const& meter = this->traffic.meter();
         for (auto const never :
-             {traffic_violation::wrong_service, traffic_violation::run_twice,
+             {traffic_violation::living_flow_reset,
+              traffic_violation::wrong_service, traffic_violation::run_twice,
               traffic_violation::new_at_leaving,
               traffic_violation::refused_in_vain})
             cr_expect_eq(meter.violations_of(never), 0, "seed %lu", seed);
         auto const hung =
-            meter.violations_of(traffic_violation::living_flow_timed_out);
+            meter.violations_of(traffic_violation::living_flow_timed_out) +
+            meter.violations_of(traffic_violation::unconfirmed_flow_timed_out);
         constexpr std::uint64_t requests_for_one = 5'000;
         cr_expect_leq(
             hung, 1 + this->ended(request_end::answered) / requests_for_one,
@@ -118,7 +120,8 @@
 
     static traffic_shape with_callers(traffic_shape shape)
     {
-        shape.callers = 60;
+        if (shape.callers == 0)
+            shape.callers = 60;
         return shape;
     }
 
@@ -456,3 +459,56 @@
         }
     }
 }
+
+namespace
+{
+
+/// Flows that pause for longer than a VM takes to come back, of openings whose
+/// answers are lost now and then.
+traffic_shape with_long_pauses(flow_spread spread)
+{
+    traffic_shape shape = with_spread(spread);
+    shape.callers = 1'000;
+    shape.fabric.lost_permille = 20;
+    shape.pause = 6s;
+    shape.requests_per_flow = 3;
+    return shape;
+}
+
+} // namespace
+
+// Guards against flows that are reset by an upstream that also got their
+// opening, when each VM that knew them has been restarted as planned.
+Test(traffic, flows_whose_openings_were_retried_survive_restarts_of_all_vms)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        world table(seed, with_long_pauses(flow_spread::steady));
+        for (int round = 0; round < 9; ++round)
+        {
+            table.fleet.leave_and_return(
+                table.one_of_each_domain(round), 500ms);
+            table.run_for(2s);
+        }
+        table.run_for(8s);
+        table.expect_kept_but_for_lost_confirmations(seed);
+        cr_expect_gt(table.ended(request_end::answered), 5'000);
+    }
+}
+
+// Guards against the same when all VMs are killed at once, which have no time
+// to tell each other anything.
+Test(traffic, flows_whose_openings_were_retried_survive_a_loss_of_all_vms)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        world table(seed, with_long_pauses(flow_spread::steady));
+        for (int round = 0; round < 3; ++round)
+        {
+            table.fleet.restart(table.fleet.pick_running(12), 500ms);
+            table.run_for(8s);
+        }
+        table.expect_kept_but_for_lost_confirmations(seed);
+        cr_expect_gt(table.ended(request_end::answered), 4'500);
+    }
+}
