Tagging: Believe no provisional tag but that of the first packet

All processes were killed at once; a caller that had paused got a reset from an upstream that did not hold its flow. A VM that knows no flow and gets no answer from its peers went by the provisional tag. That is right for the caller's first packet after the opening, and the tag did not tell that packet from later ones, whose tag the late answer of another upstream may have changed. The same happened without peers, without room to hold the packet and beyond the budget of messages.

Ruled out: believing no provisional tag (each flow that moves during its handshake is lost with a killed VM); the time of the opening in the tag (clocks of VMs jump, and a caller may pause before its first request); asking upstreams (they answer the caller alone, with a reset).

Change: the provisional tag is masked by a hash of the opening's sequence number, so that it names an upstream only together with the sequence number of the packet that follows the opening. What names nobody is looked up and else dropped, and logged as packet_dropped. When an opening goes to a further upstream the one before gets it again with a mask of its own, which is not believed either: a caller may send its first request long after it confirmed. flow_lookup carries the packet's tag, which the VM that placed the opening can read. Packets that were held are sent with the first one first.

What names nobody after a loss of all memory gets silence.

--- a/libraries/event/flow_decision.hpp
+++ b/libraries/event/flow_decision.hpp
@@ -57,9 +57,12 @@
     named_by_tag,
     /// Another VM told the flow's upstream.
     named_by_peer,
-    /// No other VM told the flow's upstream, so the provisional tag was
-    /// believed.
+    /// No other VM told the flow's upstream. The packet is the first one after
+    /// the opening, so its provisional tag was believed.
     named_by_provisional_tag,
+    /// No other VM told the flow's upstream, and the opening went to a further
+    /// upstream after the one that the tag names.
+    named_by_superseded_tag,
     /// No upstream of the route's pool may take a flow.
     no_upstream,
     /// No upstream of the route's pool is outside of failure domains that are
--- a/libraries/observability/effect_text.hpp
+++ b/libraries/observability/effect_text.hpp
@@ -231,6 +231,8 @@
         return "named_by_peer";
     case flow_rule::named_by_provisional_tag:
         return "named_by_provisional_tag";
+    case flow_rule::named_by_superseded_tag:
+        return "named_by_superseded_tag";
     case flow_rule::no_upstream:
         return "no_upstream";
     case flow_rule::no_route:
--- a/libraries/protocol/control_message.hpp
+++ b/libraries/protocol/control_message.hpp
@@ -198,13 +198,13 @@
 };
 
 /// Which upstream has this flow? A packet of it reached the sender, which does
-/// not know the flow, and the packet's tag is provisional.
+/// not know the flow, and the packet's tag is provisional or unknown.
 struct flow_lookup
 {
     flow_id flow;
-    /// Of the upstream that the packet's tag names. It has the flow unless the
-    /// receiver knows better.
-    upstream_tag named;
+    /// The packet's tag. The VM that placed the opening can tell which upstream
+    /// it names.
+    upstream_tag tag;
     /// The packet's acknowledgement number, which tells the flow from an
     /// earlier one between the same ports.
     std::uint32_t acknowledged = 0;
--- a/libraries/registry/tag.hpp
+++ b/libraries/registry/tag.hpp
@@ -25,18 +25,25 @@
     return upstream_tag(low == 0 ? 1 : low);
 }
 
-/// The tag that an opening carries to an upstream, or the upstream's tag for
-/// such a tag. Packets that follow the opening carry the upstream's tag. So the
-/// tag of a caller's packet tells whether its upstream has had a packet of the
-/// flow since the caller confirmed it. Where several upstreams got the opening,
-/// each answers it and repeats the answer, and the caller's packets carry the
-/// provisional tag of any of them. Precondition: the tag is not zero. Thread
-/// safety: no shared state.
-[[nodiscard]] constexpr upstream_tag toggle_provisional(upstream_tag tag)
+/// What an opening's tag tells of the upstreams that got the opening.
+enum class offer_standing : std::uint8_t
 {
-    constexpr std::uint32_t provisional_bit = 0x80000000;
-    return upstream_tag(tag.value() ^ provisional_bit);
-}
+    /// No other upstream got it later, from this VM.
+    latest,
+    superseded,
+};
+
+/// The provisional tag that an opening with this sequence number carries to an
+/// upstream with this tag; given a provisional tag, the upstream's tag. Packets
+/// that follow the opening carry the upstream's tag, so an upstream answers
+/// with a provisional tag only until it has had such a packet.
+/// Where several upstreams got the opening, each answers it and repeats the
+/// answer, and the caller's packets carry the provisional tag of any of them.
+/// The sequence number tells the caller's first packet after the opening, for
+/// which the tag is meant, from those that follow. No precondition. Thread
+/// safety: no shared state.
+[[nodiscard]] upstream_tag convert_provisional(
+    upstream_tag tag, std::uint32_t opening_sequence, offer_standing standing);
 
 /// As operators and upstreams write it: `i-7f3a91c2`. No precondition. Thread
 /// safety: no shared state.
--- a/libraries/tagging/contested_openings.hpp
+++ b/libraries/tagging/contested_openings.hpp
@@ -20,6 +20,7 @@
     endpoint caller;
     endpoint destination;
     std::span<std::uint8_t const> bytes;
+    std::uint32_t sequence = 0;
     upstream_tag earlier;
     upstream_tag latest;
 };
--- a/libraries/tagging/tag_router.cpp
+++ b/libraries/tagging/tag_router.cpp
@@ -206,13 +206,17 @@
     time_point now, packet_arrived const& packet, effect_list& effects)
 {
     named_upstream const named = this->upstream_of(packet);
-    if (named.upstream == nullptr)
+    bool const is_held = named.certainty != tag_certainty::certain &&
+                         this->hold(now, packet, named, effects);
+    if (is_held)
+        return;
+    if (named.certainty == tag_certainty::ambiguous)
     {
-        // A reset could end a live flow whose upstream only other VMs know.
-        // The caller retransmits its packet, and by then this VM may know the
-        // upstream too.
+        // A reset could end a live flow whose upstream only other VMs know, and
+        // an upstream that does not hold the flow would reset it. The caller
+        // retransmits its packet, and by then this VM may know the upstream.
         return this->drop(
-            packet, drop_reason::unknown_flow, flow_rule::unknown_tag, effects);
+            packet, drop_reason::unknown_flow, named.rule, effects);
     }
     tagged_upstream& upstream = *named.upstream;
     if (this->upstream_table.is_address_taken_over(upstream))
@@ -221,10 +225,6 @@
             drop_packet{packet.token, drop_reason::upstream_unreachable});
         return this->reset_flow_of_packet(packet, upstream, effects);
     }
-    bool const is_held = named.certainty == tag_certainty::provisional &&
-                         this->hold(now, packet, upstream, effects);
-    if (is_held)
-        return;
     this->update_flow(now, packet, upstream, named.rule, effects);
     this->check_now(now, packet, upstream);
     send(packet, upstream, upstream.tag, effects);
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -201,8 +201,11 @@
     enum class tag_certainty : std::uint8_t
     {
         certain,
-        /// Another upstream may hold the flow, and this VM cannot know.
+        /// The packet is the first one after an opening that this VM does not
+        /// know. The tag is right unless another VM knows better.
         provisional,
+        /// Another upstream may hold the flow, and this VM cannot know.
+        ambiguous,
     };
 
     /// The upstream that holds a flow, as far as this VM knows.
@@ -273,8 +276,13 @@
         time_point now,
         flow_id flow,
         flow_ends const& ends,
+        std::uint32_t sequence,
         tagged_upstream& chosen,
         opening_history history);
+    void send_opening(
+        packet_arrived const& packet,
+        tagged_upstream const& upstream,
+        effect_list& effects) const;
     void schedule_retry(time_point now, packet_arrived const& packet);
     void retry_opening(
         time_point now, pending_opening opening, effect_list& effects);
@@ -303,17 +311,23 @@
     void route_by_tag(
         time_point now, packet_arrived const& packet, effect_list& effects);
     [[nodiscard]] named_upstream upstream_of(packet_arrived const& packet);
+    /// The same for a provisional tag, of a flow that no VM has told of.
+    [[nodiscard]] named_upstream
+    upstream_of_provisional(packet_arrived const& packet);
+    /// The upstream that a tag names which came from the answer to an opening
+    /// with this sequence number, whatever the standing. Null if none.
+    [[nodiscard]] tagged_upstream*
+    find_offered(upstream_tag tag, std::uint32_t opening_sequence);
     /// Holds the packet and asks other VMs for the flow's upstream. False where
     /// that is not possible.
     [[nodiscard]] bool hold(
         time_point now,
         packet_arrived const& packet,
-        tagged_upstream const& named,
+        named_upstream const& named,
         effect_list& effects);
-    /// Sends the flow's packets. Where the upstream is still not known, the tag
-    /// is believed.
-    void
-    release(time_point now, held_flow const& released, effect_list& effects);
+    /// Sends the flow's packets whose upstream is known or whose tag may be
+    /// believed, and drops the others.
+    void release(time_point now, held_flow released, effect_list& effects);
     void release_due(time_point now, effect_list& effects);
     void send_held(
         time_point now,
@@ -327,10 +341,15 @@
         time_point now,
         vm_id sender,
         flow_lookup const& asked,
+        upstream_tag confirmed,
         effect_list& effects);
     void tell_binding(
         time_point now, packet_arrived const& packet, effect_list& effects);
     void tell_peers(control_body const& message, effect_list& effects) const;
+    /// Records that a further upstream got an opening, and tells the earlier
+    /// one by its tag.
+    void record_second_offer(
+        time_point now, opening_offer const& offer, effect_list& effects);
     /// Ends the choice between the upstreams that got an opening.
     void settle_opening(
         time_point now,
@@ -473,6 +492,11 @@
     [[nodiscard]] duration idle_timeout() const;
     [[nodiscard]] std::string_view
     pool_of(published_route const& route, flow_id flow) const;
+    static void send_copy_of_opening(
+        std::span<std::uint8_t const> bytes,
+        tagged_upstream const& upstream,
+        upstream_tag tag,
+        effect_list& effects);
     static void send(
         packet_arrived const& packet,
         tagged_upstream const& upstream,
--- a/libraries/tagging/tag_router_contested.cpp
+++ b/libraries/tagging/tag_router_contested.cpp
@@ -23,6 +23,34 @@
 
 } // namespace
 
+void tag_router::record_second_offer(
+    time_point now, opening_offer const& offer, effect_list& effects)
+{
+    this->contested.record(now, offer);
+    tagged_upstream const* const earlier =
+        this->upstream_table.find(offer.earlier);
+    bool const may_tell =
+        earlier != nullptr && offer.earlier != offer.latest &&
+        this->upstream_table.may_repeat_opening(now, *earlier);
+    if (may_tell)
+        send_copy_of_opening(
+            offer.bytes, *earlier,
+            this->upstream_table.opening_tag_of(
+                *earlier, offer.sequence, offer_standing::superseded),
+            effects);
+}
+
+void tag_router::send_copy_of_opening(
+    std::span<std::uint8_t const> bytes,
+    tagged_upstream const& upstream,
+    upstream_tag tag,
+    effect_list& effects)
+{
+    registered_upstream const& at = upstream.registered;
+    effects.emplace_back(send_copy{
+        {bytes.begin(), bytes.end()}, {at.address, at.port, at.instance}, tag});
+}
+
 void tag_router::settle_opening(
     time_point now, flow_id flow, upstream_tag confirmed, effect_list& effects)
 {
@@ -71,11 +99,7 @@
             break;
         auto const turn = std::ranges::find(opening.offered_to, tag);
         std::rotate(turn, turn + 1, opening.offered_to.end());
-        registered_upstream const& at = other->registered;
-        effects.emplace_back(send_copy{
-            opening.bytes,
-            {at.address, at.port, at.instance},
-            opening.confirmed});
+        send_copy_of_opening(opening.bytes, *other, opening.confirmed, effects);
         effects.emplace_back(this->make_decision(
             flow_step::tag_corrected, flow_rule::opening_unanswered,
             opening.flow, {opening.caller, opening.destination}, other));
--- a/libraries/tagging/tag_router_openings.cpp
+++ b/libraries/tagging/tag_router_openings.cpp
@@ -68,9 +68,7 @@
     // The first upstream may have processed the data already, so no other
     // upstream may get it.
     if (has_data && upstream != nullptr)
-        return send(
-            packet, *upstream, this->upstream_table.opening_tag_of(*upstream),
-            effects);
+        return this->send_opening(packet, *upstream, effects);
     // The timeout runs from when this VM sent the opening, not from when the
     // caller did. After a pause this VM receives the opening and its
     // retransmission together, and would otherwise consider every upstream
@@ -79,9 +77,7 @@
         flow.state == tagged_flow_state::opening &&
         now >= flow.opened_at + this->settings.answer_timeout;
     if (may_stay && !is_unanswered)
-        return send(
-            packet, *upstream, this->upstream_table.opening_tag_of(*upstream),
-            effects);
+        return this->send_opening(packet, *upstream, effects);
     if (upstream != nullptr && is_unanswered)
         this->record_unanswered(now, *upstream, effects);
     upstream_tag const excluded = flow.upstream;
@@ -134,18 +130,28 @@
     effects.emplace_back(
         this->make_decision(flow_step::placed, packet.flow, ends, choice));
     this->add_opening(
-        now, packet.flow, ends, *choice.chosen,
+        now, packet.flow, ends, packet.progress.sequence, *choice.chosen,
         is_first_attempt && !may_be_placed_elsewhere(packet)
             ? opening_history::first_offer
             : opening_history::offered_before);
-    if (!is_first_attempt)
-        this->contested.record(
-            now, {packet.flow, packet.source, packet.destination, packet.bytes,
-                  excluded, choice.chosen->tag});
     this->schedule_retry(now, packet);
-    send(
-        packet, *choice.chosen,
-        this->upstream_table.opening_tag_of(*choice.chosen), effects);
+    this->send_opening(packet, *choice.chosen, effects);
+    if (!is_first_attempt)
+        this->record_second_offer(
+            now,
+            {packet.flow, packet.source, packet.destination, packet.bytes,
+             packet.progress.sequence, excluded, choice.chosen->tag},
+            effects);
+}
+
+void tag_router::send_opening(
+    packet_arrived const& packet,
+    tagged_upstream const& upstream,
+    effect_list& effects) const
+{
+    upstream_tag const tag = this->upstream_table.opening_tag_of(
+        upstream, packet.progress.sequence, offer_standing::latest);
+    send(packet, upstream, tag, effects);
 }
 
 // Retransmissions are counted in the acknowledgement number.
@@ -195,6 +201,7 @@
     time_point now,
     flow_id flow,
     flow_ends const& ends,
+    std::uint32_t sequence,
     tagged_upstream& chosen,
     opening_history history)
 {
@@ -204,6 +211,7 @@
                .destination = ends.destination,
                .upstream = chosen.tag,
                .state = tagged_flow_state::opening,
+               .opening_sequence = sequence,
                .opened_at = now,
                .expires_at = now + opening_lifetime,
                .progress = {},
@@ -238,6 +246,7 @@
     if (!is_unconfirmed || may_be_confirmed_elsewhere)
         return;
     flow_ends const ends{flow->caller, opening.destination};
+    std::uint32_t const sequence = flow->opening_sequence;
     auto const waited = now - flow->opened_at;
     // The caller retransmits its opening only after 200 ms; most requests that
     // a person waits for are late by then.
@@ -268,16 +277,18 @@
     effects.emplace_back(retried);
     this->remove_flow(opening.flow);
     this->add_opening(
-        now, opening.flow, ends, *choice.chosen,
+        now, opening.flow, ends, sequence, *choice.chosen,
         opening_history::offered_before);
-    this->contested.record(
-        now, {opening.flow, ends.caller, ends.destination, opening.bytes,
-              silent, choice.chosen->tag});
-    registered_upstream const& at = choice.chosen->registered;
-    effects.emplace_back(send_copy{
-        opening.bytes,
-        {at.address, at.port, at.instance},
-        this->upstream_table.opening_tag_of(*choice.chosen)});
+    send_copy_of_opening(
+        opening.bytes, *choice.chosen,
+        this->upstream_table.opening_tag_of(
+            *choice.chosen, sequence, offer_standing::latest),
+        effects);
+    this->record_second_offer(
+        now,
+        {opening.flow, ends.caller, ends.destination, opening.bytes, sequence,
+         silent, choice.chosen->tag},
+        effects);
     ++opening.retries;
     opening.due_at = now + this->settings.retry_after;
     this->unconfirmed.add(std::move(opening));
--- a/libraries/tagging/tag_router_takeover.cpp
+++ b/libraries/tagging/tag_router_takeover.cpp
@@ -56,22 +56,55 @@
         if (auto* const known = this->upstream_table.find(*told))
             return {known, flow_rule::named_by_peer, tag_certainty::certain};
     }
-    if (*packet.tag == upstream_tag())
-        return {};
-    auto* const offered =
-        this->upstream_table.find(toggle_provisional(*packet.tag));
-    // The first packet that follows an opening from here carries the tag of the
-    // answer that the caller confirms.
+    // An answer to the opening that this VM placed: the caller confirms it.
     bool const is_placed_here = flow != nullptr && !is_settled;
-    return {
-        offered, flow_rule::named_by_tag,
-        is_placed_here ? tag_certainty::certain : tag_certainty::provisional};
+    if (is_placed_here)
+    {
+        auto* const offered =
+            this->find_offered(*packet.tag, flow->opening_sequence);
+        if (offered != nullptr)
+            return {offered, flow_rule::named_by_tag, tag_certainty::certain};
+    }
+    return this->upstream_of_provisional(packet);
+}
+
+tag_router::named_upstream
+tag_router::upstream_of_provisional(packet_arrived const& packet)
+{
+    std::uint32_t const opening_sequence = packet.progress.sequence - 1;
+    auto* const latest = this->upstream_table.find(convert_provisional(
+        *packet.tag, opening_sequence, offer_standing::latest));
+    if (latest != nullptr)
+        return {
+            latest, flow_rule::named_by_provisional_tag,
+            tag_certainty::provisional};
+    auto* const superseded = this->upstream_table.find(convert_provisional(
+        *packet.tag, opening_sequence, offer_standing::superseded));
+    if (superseded != nullptr)
+        return {
+            superseded, flow_rule::named_by_superseded_tag,
+            tag_certainty::ambiguous};
+    return {nullptr, flow_rule::unknown_tag, tag_certainty::ambiguous};
+}
+
+tagged_upstream*
+tag_router::find_offered(upstream_tag tag, std::uint32_t opening_sequence)
+{
+    for (auto const standing :
+         {offer_standing::latest, offer_standing::superseded})
+    {
+        auto* const found = this->upstream_table.find(
+            convert_provisional(tag, opening_sequence, standing));
+        if (found != nullptr)
+            return found;
+    }
+    return nullptr;
 }
 
 bool tag_router::hold(
     time_point now,
     packet_arrived const& packet,
-    tagged_upstream const& named,
+    named_upstream const& named,
     effect_list& effects)
 {
     bool const is_held = this->held.contains(packet.flow);
@@ -81,35 +114,47 @@
                           this->flows.has_room() && !this->peers.empty();
     if (!may_hold)
         return false;
-    if (!is_held && !this->budget.take(now, this->peers.size()))
+    // Tags of upstreams that left name none either, and those are more.
+    auto const urgency = named.upstream == nullptr ? message_urgency::low
+                                                   : message_urgency::usual;
+    if (!is_held && !this->budget.take(now, this->peers.size(), urgency))
         return false;
     this->held.add(packet, now + lookup_timeout);
     effects.emplace_back(keep_copy{packet.token});
     if (!is_held)
         this->tell_peers(
-            flow_lookup{packet.flow, named.tag, packet.progress.acknowledged},
+            flow_lookup{packet.flow, *packet.tag, packet.progress.acknowledged},
             effects);
     return true;
 }
 
 void tag_router::release(
-    time_point now, held_flow const& released, effect_list& effects)
+    time_point now, held_flow released, effect_list& effects)
 {
     if (now > released.due_at + maximum_hold)
         return;
+    // The first packet after an opening may have come late, and alone names
+    // the upstream.
+    std::ranges::stable_partition(
+        released.packets,
+        [this](held_packet const& packet)
+        {
+            return this->upstream_of(packet.arrived).certainty !=
+                   tag_certainty::ambiguous;
+        });
     bool is_guessed = false;
     for (held_packet const& packet : released.packets)
     {
         named_upstream const target = this->upstream_of(packet.arrived);
-        if (target.upstream == nullptr)
+        if (target.certainty == tag_certainty::ambiguous)
+        {
+            effects.emplace_back(this->make_decision(
+                flow_step::dropped, target.rule, packet.arrived.flow,
+                {packet.arrived.source, packet.arrived.destination}, nullptr));
             continue;
-        bool const is_provisional =
-            target.certainty == tag_certainty::provisional;
-        is_guessed |= is_provisional;
-        this->send_held(
-            now, packet, *target.upstream,
-            is_provisional ? flow_rule::named_by_provisional_tag : target.rule,
-            effects);
+        }
+        is_guessed |= target.certainty == tag_certainty::provisional;
+        this->send_held(now, packet, *target.upstream, target.rule, effects);
     }
     // The next VM to which the flow moves would guess, too.
     if (is_guessed)
@@ -134,8 +179,8 @@
 
 void tag_router::release_due(time_point now, effect_list& effects)
 {
-    while (auto const due = this->held.take_due(now))
-        this->release(now, *due, effects);
+    while (auto due = this->held.take_due(now))
+        this->release(now, std::move(*due), effects);
 }
 
 void tag_router::receive(
@@ -147,8 +192,12 @@
     tagged_flow const* const flow = this->flows.find(asked.flow);
     bool const is_unconfirmed =
         flow != nullptr && flow->state == tagged_flow_state::opening;
-    if (is_unconfirmed && this->upstream_table.find(asked.named) != nullptr)
-        return this->give_up_opening(now, sender, asked, effects);
+    tagged_upstream const* const confirmed =
+        is_unconfirmed ? this->find_offered(asked.tag, flow->opening_sequence)
+                       : nullptr;
+    if (confirmed != nullptr)
+        return this->give_up_opening(
+            now, sender, asked, confirmed->tag, effects);
     auto const known = this->find_binding(asked);
     if (known)
         effects.emplace_back(send_control{
@@ -172,19 +221,20 @@
     time_point now,
     vm_id sender,
     flow_lookup const& asked,
+    upstream_tag confirmed,
     effect_list& effects)
 {
     // The caller confirmed the opening through another VM. A retry from here
     // would reach upstreams whose answers change the tag of the flow.
     bool const is_contested = this->flows.find(asked.flow)->is_contested;
     this->remove_flow(asked.flow);
-    this->bindings.record(now, asked.flow, asked.named, asked.acknowledged);
-    flow_binding const answer{asked.flow, asked.named, asked.acknowledged};
+    this->bindings.record(now, asked.flow, confirmed, asked.acknowledged);
+    flow_binding const answer{asked.flow, confirmed, asked.acknowledged};
     if (is_contested && this->budget.take(now, this->peers.size()))
         this->tell_peers(answer, effects);
     else
         effects.emplace_back(send_control{sender, answer});
-    this->settle_opening(now, asked.flow, asked.named, effects);
+    this->settle_opening(now, asked.flow, confirmed, effects);
 }
 
 void tag_router::receive(
@@ -197,8 +247,8 @@
         this->remove_flow(told.flow);
     this->bindings.record(now, told.flow, told.upstream, told.acknowledged);
     this->settle_opening(now, told.flow, told.upstream, effects);
-    if (auto const released = this->held.take(told.flow))
-        this->release(now, *released, effects);
+    if (auto released = this->held.take(told.flow))
+        this->release(now, std::move(*released), effects);
 }
 
 void tag_router::tell_binding(
--- a/libraries/tagging/tagged_flows.hpp
+++ b/libraries/tagging/tagged_flows.hpp
@@ -31,6 +31,8 @@
     endpoint destination;
     upstream_tag upstream;
     tagged_flow_state state = tagged_flow_state::opening;
+    /// Sequence number of the opening, if this VM sent it.
+    std::uint32_t opening_sequence = 0;
     /// When this VM last sent the opening; `time_point::min()` for a flow that
     /// another VM placed.
     time_point opened_at;
--- a/libraries/tagging/tagged_upstreams.cpp
+++ b/libraries/tagging/tagged_upstreams.cpp
@@ -255,10 +255,13 @@
                                        : &this->upstreams[found->second];
 }
 
-upstream_tag
-tagged_upstreams::opening_tag_of(tagged_upstream const& upstream) const
+upstream_tag tagged_upstreams::opening_tag_of(
+    tagged_upstream const& upstream,
+    std::uint32_t opening_sequence,
+    offer_standing standing) const
 {
-    upstream_tag const provisional = toggle_provisional(upstream.tag);
+    upstream_tag const provisional =
+        convert_provisional(upstream.tag, opening_sequence, standing);
     bool const is_taken =
         provisional == upstream_tag() || this->find(provisional) != nullptr;
     return is_taken ? upstream.tag : provisional;
--- a/libraries/tagging/tagged_upstreams.hpp
+++ b/libraries/tagging/tagged_upstreams.hpp
@@ -180,10 +180,12 @@
     [[nodiscard]] tagged_upstream* find(upstream_tag tag);
     [[nodiscard]] tagged_upstream const* find(upstream_tag tag) const;
 
-    /// The tag of openings to the upstream: its provisional tag, unless that is
-    /// zero or another upstream's own.
-    [[nodiscard]] upstream_tag
-    opening_tag_of(tagged_upstream const& upstream) const;
+    /// The tag of an opening to the upstream: its provisional tag, unless that
+    /// is zero or another upstream's own.
+    [[nodiscard]] upstream_tag opening_tag_of(
+        tagged_upstream const& upstream,
+        std::uint32_t opening_sequence,
+        offer_standing standing) const;
 
     /// Chooses an upstream of the pool for a new flow: the least loaded one
     /// that is ready. An upstream that recently left openings unanswered, or
--- a/libraries/wire/control_codec.cpp
+++ b/libraries/wire/control_codec.cpp
@@ -185,7 +185,7 @@
     {
         auto part = this->to.initFlowLookup();
         part.setFlow(body.flow.value());
-        part.setNamed(body.named.value());
+        part.setNamed(body.tag.value());
         part.setAcknowledged(body.acknowledged);
     }
 
@@ -420,7 +420,7 @@
 {
     return {
         .flow = flow_id(from.getFlow()),
-        .named = upstream_tag(from.getNamed()),
+        .tag = upstream_tag(from.getNamed()),
         .acknowledged = from.getAcknowledged()};
 }
 
