--- a/libraries/registry/tag.cpp
+++ b/libraries/registry/tag.cpp
@@ -9,7 +9,7 @@
 namespace cairnhead
 {
 
-upstream_tag convert_provisional(
+upstream_tag toggle_provisional(
     upstream_tag tag, std::uint32_t opening_sequence, offer_standing standing)
 {
     // Every bit depends on the whole number: the lengths of requests, by which
--- a/libraries/registry/tag.hpp
+++ b/libraries/registry/tag.hpp
@@ -33,16 +33,16 @@
     superseded,
 };
 
-/// The provisional tag that an opening with this sequence number carries to an
-/// upstream with this tag; given a provisional tag, the upstream's tag. Packets
-/// that follow the opening carry the upstream's tag, so an upstream answers
-/// with a provisional tag only until it has had such a packet.
+/// The tag that an opening with this sequence number carries to an upstream, or
+/// the upstream's tag for such a tag. Packets that follow the opening carry the
+/// upstream's tag, so an upstream answers with a provisional tag only until it
+/// has had such a packet.
 /// Where several upstreams got the opening, each answers it and repeats the
 /// answer, and the caller's packets carry the provisional tag of any of them.
 /// The sequence number tells the caller's first packet after the opening, for
 /// which the tag is meant, from those that follow. No precondition. Thread
 /// safety: no shared state.
-[[nodiscard]] upstream_tag convert_provisional(
+[[nodiscard]] upstream_tag toggle_provisional(
     upstream_tag tag, std::uint32_t opening_sequence, offer_standing standing);
 
 /// As operators and upstreams write it: `i-7f3a91c2`. No precondition. Thread
--- a/libraries/tagging/tag_router.hpp
+++ b/libraries/tagging/tag_router.hpp
@@ -353,7 +353,7 @@
     void tell_peers(control_body const& message, effect_list& effects) const;
     /// Records that a further upstream got an opening, and tells the earlier
     /// one by its tag.
-    void record_second_offer(
+    void record_further_offer(
         time_point now, opening_offer const& offer, effect_list& effects);
     /// Ends the choice between the upstreams that got an opening.
     void settle_opening(
--- a/libraries/tagging/tag_router_contested.cpp
+++ b/libraries/tagging/tag_router_contested.cpp
@@ -14,16 +14,16 @@
 
 using std::chrono_literals::operator""ms;
 
-/// The answer to a correction needs less.
+/// An upstream answers a correction sooner.
 constexpr duration correction_interval = 100ms;
 
-/// Callers and upstreams may take a flow for lost when three packets in a row
-/// go to other upstreams than its own.
+/// A flow counts as lost when three of its packets in a row go to other
+/// upstreams than its own.
 constexpr std::size_t corrections_at_once = 2;
 
 } // namespace
 
-void tag_router::record_second_offer(
+void tag_router::record_further_offer(
     time_point now, opening_offer const& offer, effect_list& effects)
 {
     this->contested.record(now, offer);
--- a/libraries/tagging/tag_router_openings.cpp
+++ b/libraries/tagging/tag_router_openings.cpp
@@ -137,7 +137,7 @@
     this->schedule_retry(now, packet);
     this->send_opening(packet, *choice.chosen, effects);
     if (!is_first_attempt)
-        this->record_second_offer(
+        this->record_further_offer(
             now,
             {packet.flow, packet.source, packet.destination, packet.bytes,
              packet.progress.sequence, excluded, choice.chosen->tag},
@@ -284,7 +284,7 @@
         this->upstream_table.opening_tag_of(
             *choice.chosen, sequence, offer_standing::latest),
         effects);
-    this->record_second_offer(
+    this->record_further_offer(
         now,
         {opening.flow, ends.caller, ends.destination, opening.bytes, sequence,
          silent, choice.chosen->tag},
--- a/libraries/tagging/tag_router_takeover.cpp
+++ b/libraries/tagging/tag_router_takeover.cpp
@@ -72,13 +72,13 @@
 tag_router::upstream_of_provisional(packet_arrived const& packet)
 {
     std::uint32_t const opening_sequence = packet.progress.sequence - 1;
-    auto* const latest = this->upstream_table.find(convert_provisional(
+    auto* const latest = this->upstream_table.find(toggle_provisional(
         *packet.tag, opening_sequence, offer_standing::latest));
     if (latest != nullptr)
         return {
             latest, flow_rule::named_by_provisional_tag,
             tag_certainty::provisional};
-    auto* const superseded = this->upstream_table.find(convert_provisional(
+    auto* const superseded = this->upstream_table.find(toggle_provisional(
         *packet.tag, opening_sequence, offer_standing::superseded));
     if (superseded != nullptr)
         return {
@@ -94,7 +94,7 @@
          {offer_standing::latest, offer_standing::superseded})
     {
         auto* const found = this->upstream_table.find(
-            convert_provisional(tag, opening_sequence, standing));
+            toggle_provisional(tag, opening_sequence, standing));
         if (found != nullptr)
             return found;
     }
--- a/libraries/tagging/tagged_upstreams.cpp
+++ b/libraries/tagging/tagged_upstreams.cpp
@@ -261,7 +261,7 @@
     offer_standing standing) const
 {
     upstream_tag const provisional =
-        convert_provisional(upstream.tag, opening_sequence, standing);
+        toggle_provisional(upstream.tag, opening_sequence, standing);
     bool const is_taken =
         provisional == upstream_tag() || this->find(provisional) != nullptr;
     return is_taken ? upstream.tag : provisional;
--- a/tests/tagged_path/parties.hpp
+++ b/tests/tagged_path/parties.hpp
@@ -179,7 +179,7 @@
         flow opened = this->make_flow();
         answer const got = this->request(vm, make_opening(opened), syn | ack);
         opened.echo = got.read.echo;
-        opened.confirmed_echo = convert_provisional(
+        opened.confirmed_echo = toggle_provisional(
                                     upstream_tag(got.read.echo),
                                     opened.sequence, offer_standing::latest)
                                     .value();
--- a/tests/tagging/router_fixture.hpp
+++ b/tests/tagging/router_fixture.hpp
@@ -239,7 +239,7 @@
             copies,
             [](send_copy const& each)
             {
-                return each.tag != convert_provisional(
+                return each.tag != toggle_provisional(
                                        tag_of(each.target.instance),
                                        opening_sequence,
                                        offer_standing::latest);
@@ -321,7 +321,7 @@
         for (auto const standing :
              {offer_standing::latest, offer_standing::superseded})
             is_known |= sent->tag ==
-                        convert_provisional(own, opening_sequence, standing);
+                        toggle_provisional(own, opening_sequence, standing);
         cr_expect(is_known);
         return sent->target.instance.value();
     }
--- a/tests/tagging/takeover_vm.hpp
+++ b/tests/tagging/takeover_vm.hpp
@@ -17,7 +17,7 @@
     std::uint64_t instance, offer_standing standing = offer_standing::latest)
 {
     upstream_tag const own = tag_of(instance_number(instance));
-    return convert_provisional(own, opening_sequence, standing).value();
+    return toggle_provisional(own, opening_sequence, standing).value();
 }
 
 /// A VM with upstreams 1 to 3 and two peers, and what it sends to those.
