Tagging: Send late copies of openings with the confirmed tag

Cause: a caller's copy of an opening may reach the VM after the confirmation. It went to the flow's upstream with a provisional tag, which replaced the upstream's own in its next answers; in a later packet of the caller a provisional tag names nobody, so after a loss of all memory the flow would get no answer. If the upstream drained by then, the copy went to another one, and that one's answer changed the tag as well. Found by reading, for ways in which the tag of an open flow becomes wrong.

Ruled out: dropping the copy (the upstream may rely on it for its own repeats).

Change: the copy of a confirmed opening goes to the flow's upstream with that one's own tag, also while it drains.

Figures: contested_openings::a_late_copy_of_an_opening_carries_the_confirmed_tag fails before (the provisional tag; another upstream where it drains).

--- a/libraries/tagging/tag_router_openings.cpp
+++ b/libraries/tagging/tag_router_openings.cpp
@@ -69,6 +69,10 @@
     // upstream may get it.
     if (has_data && upstream != nullptr)
         return this->send_opening(packet, *upstream, effects);
+    // The copy is late. A provisional tag would replace the upstream's own in
+    // its answers.
+    if (flow.state == tagged_flow_state::established && upstream != nullptr)
+        return send(packet, *upstream, upstream->tag, effects);
     // The timeout runs from when this VM sent the opening, not from when the
     // caller did. After a pause this VM receives the opening and its
     // retransmission together, and would otherwise consider every upstream
--- a/tests/tagging/test_contested_openings.cpp
+++ b/tests/tagging/test_contested_openings.cpp
@@ -93,6 +93,26 @@
     }
 }
 
+// Guards against an upstream that answers with a provisional tag again, by
+// which a VM that does not know the flow cannot find it.
+Test(contested_openings, a_late_copy_of_an_opening_carries_the_confirmed_tag)
+{
+    for (bool const is_draining : {false, true})
+    {
+        takeover_vm vm;
+        auto const upstream = vm.open(flow);
+        vm.request(flow, provisional_tag_of(upstream), first_sequence);
+        auto listed = make_upstream(upstream);
+        listed.is_draining = is_draining;
+        vm.list({listed, make_upstream(4)});
+        effect const passed = vm.open_retransmission(flow, 1);
+        auto const* const sent = std::get_if<send_tagged>(&passed);
+        cr_assert_not_null(sent);
+        cr_expect_eq(sent->target.instance.value(), upstream);
+        cr_expect(sent->tag == tag_of(instance_number(upstream)));
+    }
+}
+
 // Guards against a tag that is believed as if no other upstream had got the
 // opening, when the VM that could correct it was killed.
 Test(contested_openings, the_first_upstream_learns_that_it_is_superseded)
