Tagging: Correct the only upstream that got an opening from this VM

Cause: only openings that this VM sent to two upstreams were kept. A caller's copy of an opening may come to another VM, since the first one was killed or is out of rotation; each of the two VMs then knows one of the upstreams, and the one that was not confirmed kept answering with its tag. Found by reading, as a further way to lose what is known of a flow.

Ruled out: keeping all openings (12 s of 82 a second, for flows that are all right).

Change: the VM also keeps an opening that came as a copy, and one that it did not offer again since its caller may have confirmed it elsewhere.

Left: the upstream of a VM that was killed, which nobody knows.

--- a/libraries/tagging/contested_openings.cpp
+++ b/libraries/tagging/contested_openings.cpp
@@ -20,7 +20,8 @@
 
 void add_once(std::vector<upstream_tag>& tags, upstream_tag added)
 {
-    if (std::ranges::find(tags, added) == tags.end())
+    bool const is_new = std::ranges::find(tags, added) == tags.end();
+    if (added != upstream_tag() && is_new)
         tags.push_back(added);
 }
 
--- a/libraries/tagging/contested_openings.hpp
+++ b/libraries/tagging/contested_openings.hpp
@@ -13,7 +13,8 @@
 namespace cairnhead
 {
 
-/// An opening that one upstream has got and that another one gets, too.
+/// An opening that this VM sends to an upstream after another one has got it,
+/// perhaps from another VM.
 struct opening_offer
 {
     flow_id flow;
@@ -21,21 +22,22 @@
     endpoint destination;
     std::span<std::uint8_t const> bytes;
     std::uint32_t sequence = 0;
+    /// Zero if only another VM knows it.
     upstream_tag earlier;
     upstream_tag latest;
 };
 
-/// An opening that this VM sent to several upstreams. The caller confirms the
-/// answer of one of them; each answer of another one changes the tag of the
-/// caller's packets.
+/// An opening that several upstreams may have got, some of them from this VM.
+/// The caller confirms the answer of one of them; each answer of another one
+/// changes the tag of the caller's packets.
 struct contested_opening
 {
     flow_id flow;
     endpoint caller;
     endpoint destination;
     std::vector<std::uint8_t> bytes;
-    /// Each upstream once. The one that waited longest for a correction comes
-    /// first.
+    /// By this VM. Each upstream once. The one that waited longest for a
+    /// correction comes first.
     std::vector<upstream_tag> offered_to;
     /// The upstream that the caller confirmed; zero until that is known.
     upstream_tag confirmed;
@@ -47,7 +49,7 @@
     time_point expires_at;
 };
 
-/// Openings that this VM sent to several upstreams, for as long as these may
+/// Openings that several upstreams may have got, for as long as these may
 /// repeat their answers.
 /// No method has a precondition unless its comment states one; none is
 /// thread-safe: only the reducer's thread calls them.
--- a/libraries/tagging/tag_router_openings.cpp
+++ b/libraries/tagging/tag_router_openings.cpp
@@ -133,14 +133,15 @@
     flow_ends const ends{packet.source, packet.destination};
     effects.emplace_back(
         this->make_decision(flow_step::placed, packet.flow, ends, choice));
+    auto const history = is_first_attempt && !may_be_placed_elsewhere(packet)
+                             ? opening_history::first_offer
+                             : opening_history::offered_before;
     this->add_opening(
         now, packet.flow, ends, packet.progress.sequence, *choice.chosen,
-        is_first_attempt && !may_be_placed_elsewhere(packet)
-            ? opening_history::first_offer
-            : opening_history::offered_before);
+        history);
     this->schedule_retry(now, packet);
     this->send_opening(packet, *choice.chosen, effects);
-    if (!is_first_attempt)
+    if (history == opening_history::offered_before)
         this->record_further_offer(
             now,
             {packet.flow, packet.source, packet.destination, packet.bytes,
@@ -247,10 +248,14 @@
     bool const may_be_confirmed_elsewhere =
         !this->confirmations.are_delivered_here() ||
         (flow != nullptr && this->pauses.is_before_pause_end(flow->opened_at));
-    if (!is_unconfirmed || may_be_confirmed_elsewhere)
+    if (!is_unconfirmed)
         return;
     flow_ends const ends{flow->caller, opening.destination};
     std::uint32_t const sequence = flow->opening_sequence;
+    if (may_be_confirmed_elsewhere)
+        return this->contested.record(
+            now, {opening.flow, ends.caller, ends.destination, opening.bytes,
+                  sequence, flow->upstream, flow->upstream});
     auto const waited = now - flow->opened_at;
     // The caller retransmits its opening only after 200 ms; most requests that
     // a person waits for are late by then.
--- a/tests/tagging/test_contested_openings.cpp
+++ b/tests/tagging/test_contested_openings.cpp
@@ -93,6 +93,38 @@
     }
 }
 
+// Guards against the same where this VM got the caller's copy of an opening
+// that another VM, which may have been killed since, had placed.
+Test(contested_openings, an_offer_after_another_vms_is_corrected)
+{
+    takeover_vm vm;
+    vm.confirm_openings();
+    auto const own =
+        router_fixture::instance_of(vm.open_retransmission(flow, 1));
+    std::uint64_t const other = own == 1 ? 2 : 1;
+    vm.request(flow, provisional_tag_of(other), first_sequence);
+    auto const corrections = vm.take<send_copy>();
+    cr_assert_eq(corrections.size(), 1);
+    cr_expect_eq(corrections[0].target.instance.value(), own);
+    cr_expect(corrections[0].tag == tag_of(instance_number(other)));
+}
+
+// Guards against the same where the caller confirms an upstream that got the
+// opening from another VM.
+Test(contested_openings, an_only_offer_is_corrected)
+{
+    takeover_vm vm;
+    auto const own = vm.open(flow);
+    vm.advance(60ms);
+    cr_expect(vm.take<send_copy>().empty(), "a VM just started retries none");
+    upstream_tag const other = tag_of(instance_number(own == 1 ? 2 : 1));
+    vm.receive(flow_binding{flow_id(flow), other, acknowledged});
+    auto const corrections = vm.take<send_copy>();
+    cr_assert_eq(corrections.size(), 1);
+    cr_expect_eq(corrections[0].target.instance.value(), own);
+    cr_expect(corrections[0].tag == other);
+}
+
 // Guards against an upstream that answers with a provisional tag again, by
 // which a VM that does not know the flow cannot find it.
 Test(contested_openings, a_late_copy_of_an_opening_carries_the_confirmed_tag)
